--- /dev/null
+++ b/cmd/pimentogate/main.go
@@ -0,0 +1,12 @@
+// Command pimentogate runs control and entry instances, and is what operators use.
+package main
+
+import (
+	"os"
+
+	"pimentogate.example/pimentogate/internal/transport/operator"
+)
+
+func main() {
+	os.Exit(operator.New(os.Stdout, os.Stderr).Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/coordination/gatherer/types.go
@@ -0,0 +1,88 @@
+package gatherer
+
+import (
+	"time"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// Query is a caller's search.
+type Query struct {
+	ID        uint64
+	RequestID string
+	Tenant    string
+	Service   string
+	Text      string
+	Limit     int
+	// Required is the coverage the answer must meet, in millionths.
+	Required uint32
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// Reason says why an answer is not a whole one.
+type Reason string
+
+// The reasons of answers.
+const (
+	ReasonNone           Reason = ""
+	ReasonUnknownService Reason = "unknown-service"
+	ReasonTenantLimit    Reason = "tenant-limit"
+	ReasonNoUpstream     Reason = "no-upstream"
+	ReasonOverload       Reason = "overload"
+	ReasonShuttingDown   Reason = "shutting-down"
+	ReasonDeadline       Reason = "deadline"
+	ReasonUpstreams      Reason = "upstreams-failed"
+)
+
+// Answer is the one thing a caller is told about its query.
+type Answer struct {
+	Query    Query
+	Outcome  wire.Outcome
+	Reason   Reason
+	Version  uint64
+	Coverage uint32
+	// Missing are the shards of the version that are not in the answer, in the manifest's order.
+	Missing    []string
+	Rows       []*wire.Row
+	Revision   uint64
+	RetryAfter time.Duration
+	Finished   time.Time
+}
+
+// Send asks the driver to send one attempt of a sub-request.
+type Send struct {
+	Query    uint64
+	Upstream string
+	Address  string
+	Request  *wire.SearchRequest
+	Deadline time.Time
+	// Kind is first, retry or hedge.
+	Kind AttemptKind
+}
+
+// AttemptKind says why an attempt was made.
+type AttemptKind string
+
+// The kinds of attempts.
+const (
+	AttemptFirst AttemptKind = "first"
+	AttemptRetry AttemptKind = "retry"
+	AttemptHedge AttemptKind = "hedge"
+)
+
+// Actions is what the driver must do.
+type Actions struct {
+	Sends []Send
+	// Cancels are attempts whose reply is no longer wanted.
+	Cancels []uint64
+	Answers []Answer
+}
+
+// Failure is how an attempt ended without a reply.
+type Failure struct {
+	// Shed says that the upstream refused it for load.
+	Shed bool
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
+}
--- /dev/null
+++ b/internal/coordination/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter bounds what tenants may ask and what retries and hedges may add.
+package limiter
--- /dev/null
+++ b/internal/coordination/merger/merger.go
@@ -0,0 +1,34 @@
+package merger
+
+import (
+	"cmp"
+	"slices"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// Merge returns the best rows by falling score, ties by key, each key once.
+func Merge(parts [][]*wire.Row, limit int) []*wire.Row {
+	rows := slices.Concat(parts...)
+	slices.SortFunc(rows, compare)
+	merged := make([]*wire.Row, 0, min(limit, len(rows)))
+	seen := make(map[string]bool, min(limit, len(rows)))
+	for _, row := range rows {
+		if len(merged) == limit {
+			break
+		}
+		if seen[row.GetKey()] {
+			continue
+		}
+		seen[row.GetKey()] = true
+		merged = append(merged, row)
+	}
+	return merged
+}
+
+func compare(a, b *wire.Row) int {
+	return cmp.Or(
+		cmp.Compare(b.GetScore(), a.GetScore()),
+		cmp.Compare(a.GetKey(), b.GetKey()),
+	)
+}
--- /dev/null
+++ b/internal/coordination/planner/doc.go
@@ -0,0 +1,2 @@
+// Package planner says what an intent would do before anyone confirms it.
+package planner
--- /dev/null
+++ b/internal/coordination/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner decides the life of one non-idempotent request: claim, one dispatch at most, outcome.
+package runner
--- /dev/null
+++ b/internal/coordination/versioner/doc.go
@@ -0,0 +1,2 @@
+// Package versioner chooses the one index version that a query is pinned to, and computes coverage.
+package versioner
--- /dev/null
+++ b/internal/protocol/checker/settings.go
@@ -0,0 +1,182 @@
+package checker
+
+import (
+	"fmt"
+	"net"
+	"os"
+)
+
+// ControlMember is one control instance that the first membership names.
+type ControlMember struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// Control is the settings of a control instance.
+type Control struct {
+	Instance          string          `json:"instance"`
+	Zone              string          `json:"zone"`
+	Listen            string          `json:"listen"`
+	DataFolder        string          `json:"data-folder"`
+	Members           []ControlMember `json:"members"`
+	ElectionTimeoutMs int64           `json:"election-timeout-ms"`
+	LogLevel          string          `json:"log-level"`
+}
+
+// Entry is the settings of an entry instance.
+type Entry struct {
+	Instance        string   `json:"instance"`
+	Zone            string   `json:"zone"`
+	ListenCallers   string   `json:"listen-callers"`
+	ListenPeers     string   `json:"listen-peers"`
+	Control         []string `json:"control"`
+	Peers           []string `json:"peers"`
+	ShutdownGraceMs int64    `json:"shutdown-grace-ms"`
+	LogLevel        string   `json:"log-level"`
+}
+
+// Shard is one shard of a stand-in's index.
+type Shard struct {
+	Shard  string `json:"shard"`
+	Weight uint64 `json:"weight"`
+}
+
+// Standin is the settings of a stand-in upstream.
+type Standin struct {
+	Upstream     string   `json:"upstream"`
+	Zone         string   `json:"zone"`
+	Listen       string   `json:"listen"`
+	Advertise    string   `json:"advertise"`
+	Entries      []string `json:"entries"`
+	Service      string   `json:"service"`
+	Version      uint64   `json:"version"`
+	Manifest     []Shard  `json:"manifest"`
+	Shards       []string `json:"shards"`
+	Slots        uint32   `json:"slots"`
+	Connections  uint32   `json:"connections"`
+	RowsPerShard int64    `json:"rows-per-shard"`
+	WorkMs       float64  `json:"work-ms"`
+	LogLevel     string   `json:"log-level"`
+}
+
+const (
+	defaultElectionTimeoutMs = 300
+	defaultShutdownGraceMs   = 1000
+	defaultLogLevel          = "info"
+
+	allowedAddress = "an address as host:port"
+)
+
+// ReadControl reads and checks the settings of a control instance; mistakes come as a MistakesError.
+func ReadControl(path string) (*Control, error) {
+	settings := &Control{
+		ElectionTimeoutMs: defaultElectionTimeoutMs,
+		LogLevel:          defaultLogLevel,
+	}
+	return read(path, settings, checkControl)
+}
+
+// ReadEntry reads and checks the settings of an entry instance; mistakes come as a MistakesError.
+func ReadEntry(path string) (*Entry, error) {
+	settings := &Entry{
+		ShutdownGraceMs: defaultShutdownGraceMs,
+		LogLevel:        defaultLogLevel,
+	}
+	return read(path, settings, checkEntry)
+}
+
+// ReadStandin reads and checks the settings of a stand-in; mistakes come as a MistakesError.
+func ReadStandin(path string) (*Standin, error) {
+	settings := &Standin{
+		LogLevel: defaultLogLevel,
+	}
+	return read(path, settings, checkStandin)
+}
+
+func read[T any](path string, settings *T, check func(*walker, *T)) (*T, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	w, err := decode(source, settings)
+	if err != nil {
+		return nil, err
+	}
+	check(w, settings)
+	if err := w.err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func checkControl(w *walker, s *Control) {
+	w.needText("instance", s.Instance)
+	w.needText("zone", s.Zone)
+	w.needAddress("listen", s.Listen)
+	w.needText("data-folder", s.DataFolder)
+	w.needLogLevel(s.LogLevel)
+	w.need("election-timeout-ms", s.ElectionTimeoutMs >= 50, "at least 50")
+	w.need("members", len(s.Members)%2 == 1, "an odd number of control instances")
+	for i, member := range s.Members {
+		w.needText(fmt.Sprintf("members[%d].id", i), member.ID)
+		w.needAddress(fmt.Sprintf("members[%d].address", i), member.Address)
+	}
+}
+
+func checkEntry(w *walker, s *Entry) {
+	w.needText("instance", s.Instance)
+	w.needText("zone", s.Zone)
+	w.needAddress("listen-callers", s.ListenCallers)
+	w.needAddress("listen-peers", s.ListenPeers)
+	w.needAddresses("control", s.Control)
+	w.need("control", len(s.Control) > 0, "at least one address of a control instance")
+	w.needAddresses("peers", s.Peers)
+	w.need("shutdown-grace-ms", s.ShutdownGraceMs >= 0, "0 or more")
+	w.needLogLevel(s.LogLevel)
+}
+
+func checkStandin(w *walker, s *Standin) {
+	w.needText("upstream", s.Upstream)
+	w.needText("zone", s.Zone)
+	w.needAddress("listen", s.Listen)
+	w.need("advertise", s.Advertise == "" || isAddress(s.Advertise), allowedAddress)
+	w.needAddresses("entries", s.Entries)
+	w.need("entries", len(s.Entries) > 0, "at least one address of an entry instance")
+	w.needText("service", s.Service)
+	w.need("version", s.Version > 0, "above 0")
+	w.need("slots", s.Slots > 0, "above 0")
+	w.need("connections", s.Connections > 0, "above 0")
+	w.need("manifest", len(s.Manifest) > 0, "at least one shard with its weight")
+	w.need("rows-per-shard", s.RowsPerShard >= 0, "0 or more")
+	w.need("work-ms", s.WorkMs >= 0, "0 or more")
+	w.needLogLevel(s.LogLevel)
+}
+
+func (w *walker) need(field string, ok bool, allowed string) {
+	if !ok {
+		w.complain(field, allowed)
+	}
+}
+
+func (w *walker) needText(field, value string) {
+	w.need(field, value != "", "a string that is not empty")
+}
+
+func (w *walker) needAddress(field, value string) {
+	w.need(field, isAddress(value), allowedAddress)
+}
+
+func isAddress(value string) bool {
+	_, port, err := net.SplitHostPort(value)
+	return err == nil && port != ""
+}
+
+func (w *walker) needAddresses(field string, values []string) {
+	for i, value := range values {
+		w.needAddress(fmt.Sprintf("%s[%d]", field, i), value)
+	}
+}
+
+func (w *walker) needLogLevel(value string) {
+	w.need("log-level", value == "info" || value == "debug", `"info" or "debug"`)
+}
--- /dev/null
+++ b/internal/state/applier/applier.go
@@ -0,0 +1,83 @@
+package applier
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"pimentogate.example/pimentogate/internal/state/cataloger"
+	"pimentogate.example/pimentogate/internal/state/claimer"
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// Result is what one command came to; at most one field is set.
+type Result struct {
+	Confirm *wire.ConfirmResponse
+	Claim   *wire.ClaimResponse
+	Record  *wire.RecordResponse
+}
+
+// Applier is the state that the journal's commands build.
+type Applier struct {
+	Catalog *cataloger.Catalog
+	Ledger  *claimer.Ledger
+}
+
+// New returns the empty state.
+func New() *Applier {
+	return &Applier{
+		Catalog: cataloger.New(),
+		Ledger:  claimer.New(),
+	}
+}
+
+// Apply applies one committed entry and returns what its command came to.
+func (a *Applier) Apply(entry *wire.JournalEntry) (Result, error) {
+	if entry.GetKind() != wire.EntryKind_ENTRY_KIND_COMMAND {
+		return Result{}, nil
+	}
+	command := &wire.Command{}
+	if err := proto.Unmarshal(entry.GetPayload(), command); err != nil {
+		return Result{}, fmt.Errorf("journal entry %d: %w", entry.GetIndex(), err)
+	}
+	a.Ledger.Advance(command.GetTimeMs())
+	switch change := command.GetChange().(type) {
+	case *wire.Command_Confirm:
+		return Result{
+			Confirm: a.Catalog.Confirm(change.Confirm),
+		}, nil
+	case *wire.Command_Claim:
+		return Result{
+			Claim: a.Ledger.Claim(change.Claim),
+		}, nil
+	case *wire.Command_Record:
+		return Result{
+			Record: a.Ledger.Record(change.Record),
+		}, nil
+	default:
+		return Result{}, nil
+	}
+}
+
+// Snapshot returns the whole state, encoded.
+func (a *Applier) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{
+		Deterministic: true,
+	}.Marshal(&wire.StateSnapshot{
+		TimeMs:   a.Ledger.NowMs(),
+		Config:   a.Catalog.Config(),
+		Confirms: a.Catalog.Confirms(),
+		Claims:   a.Ledger.Claims(),
+	})
+}
+
+// Restore replaces the state by that of a snapshot.
+func (a *Applier) Restore(encoded []byte) error {
+	state := &wire.StateSnapshot{}
+	if err := proto.Unmarshal(encoded, state); err != nil {
+		return fmt.Errorf("state of the snapshot: %w", err)
+	}
+	a.Catalog = cataloger.Restore(state.GetConfig(), state.GetConfirms())
+	a.Ledger = claimer.Restore(state.GetTimeMs(), state.GetClaims())
+	return nil
+}
--- /dev/null
+++ b/internal/transport/gateway/gateway.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"pimentogate.example/pimentogate/internal/coordination/gatherer"
+	"pimentogate.example/pimentogate/internal/coordination/registrar"
+	"pimentogate.example/pimentogate/internal/coordination/router"
+	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/listener"
+	"pimentogate.example/pimentogate/internal/transport/sender"
+	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
+)
+
+const (
+	eventRing  = 4096
+	endRing    = 4096
+	tickPeriod = 5 * time.Millisecond
+)
+
+// Gateway is one running entry instance.
+type Gateway struct {
+	settings  *checker.Entry
+	log       logr.Logger
+	machine   *gatherer.Machine
+	sender    *sender.Sender
+	control   *ControlClient
+	meter     *meter
+	events    chan event
+	ends      chan sender.End
+	waiting   map[uint64]chan gatherer.Answer
+	lastQuery atomic.Uint64
+	lastRun   atomic.Uint64
+	ready     atomic.Bool
+	callers   *listener.Server
+	peers     *listener.Server
+	spreader  *spreader
+	watcher   *watcher
+	stopOnce  sync.Once
+	stop      chan struct{}
+	done      chan struct{}
+}
+
+// event is a question to the loop, which alone touches the machine.
+type event func(now time.Time)
+
+var errStopping = errors.New("this entry instance is stopping")
+
+// New starts an entry instance; it is ready once it has a configuration.
+func New(settings *checker.Entry, log logr.Logger) (*Gateway, error) {
+	ends := make(chan sender.End, endRing)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	// Attempt ids start at a random place, so that a restarted instance never meets its own old ones.
+	firstAttempt := rand.Uint64() >> 1
+	g := &Gateway{
+		settings: settings,
+		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
+		machine:  gatherer.New(registrar.New(), router.New(random), firstAttempt),
+		sender:   sender.New(ends),
+		control:  NewControlClient(settings.Control),
+		meter:    newMeter(),
+		events:   make(chan event, eventRing),
+		ends:     ends,
+		waiting:  map[uint64]chan gatherer.Answer{},
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	g.lastRun.Store(rand.Uint64() >> 1)
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.spreader = newSpreader(g, settings.Peers)
+	g.watcher = newWatcher(g)
+	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
+	go g.run()
+	go g.spreader.run()
+	go g.watcher.run()
+	return g, nil
+}
+
+// CallersAddress returns where callers are served.
+func (g *Gateway) CallersAddress() string { return g.callers.Address() }
+
+// PeersAddress returns where upstreams and other entry instances are served.
+func (g *Gateway) PeersAddress() string { return g.peers.Address() }
+
+// Shutdown stops being ready, waits for the balancer to notice, answers every request in flight, and leaves.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.ready.Store(false)
+	g.log.Info("shutdown: not ready")
+	select {
+	case <-time.After(time.Duration(g.settings.ShutdownGraceMs) * time.Millisecond):
+	case <-ctx.Done():
+	}
+	err := g.callers.Shutdown(ctx)
+	g.stopOnce.Do(func() { close(g.stop) })
+	<-g.watcher.done
+	<-g.spreader.done
+	g.peers.Close()
+	<-g.done
+	g.log.Info("shutdown: done")
+	return err
+}
+
+func (g *Gateway) listen() error {
+	app, err := newApp(g)
+	if err != nil {
+		return err
+	}
+	g.callers, err = listener.New(g.settings.ListenCallers, app)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewAnnouncementServiceHandler(&announcementService{
+		gateway: g,
+	}))
+	mux.Handle(wireconnect.NewPeerServiceHandler(&peerService{
+		gateway: g,
+	}))
+	g.peers, err = listener.New(g.settings.ListenPeers, mux)
+	if err != nil {
+		g.callers.Close()
+	}
+	return err
+}
+
+func (g *Gateway) run() {
+	defer close(g.done)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.C:
+			g.machine.Tick(time.Now())
+		case e := <-g.events:
+			e(time.Now())
+		case end := <-g.ends:
+			g.takeEnd(time.Now(), end)
+		}
+		g.carryOut()
+	}
+}
+
+func (g *Gateway) takeEnd(now time.Time, end sender.End) {
+	if end.Reply != nil {
+		g.machine.Reply(now, end.Attempt, end.Reply)
+		return
+	}
+	g.machine.Fail(now, end.Attempt, gatherer.Failure{
+		Shed:    end.NotStarted != nil && !end.NotStarted.GetLeaving(),
+		Leaving: end.NotStarted.GetLeaving(),
+	})
+}
+
+func (g *Gateway) carryOut() {
+	actions := g.machine.Take()
+	for _, send := range actions.Sends {
+		g.log.V(1).Info("routed", "query", send.Query, "attempt", send.Request.GetAttempt(), "kind", send.Kind,
+			"service", send.Request.GetService(), "shard", send.Request.GetShard(), "version", send.Request.GetVersion(), "upstream", send.Upstream)
+		g.meter.attempt(send.Kind)
+		g.sender.Search(send.Address, send.Request, send.Deadline)
+	}
+	for _, attempt := range actions.Cancels {
+		g.sender.Cancel(attempt)
+	}
+	for _, answer := range actions.Answers {
+		g.hand(answer)
+	}
+}
+
+// hand gives an answer to the request that waits for it.
+func (g *Gateway) hand(answer gatherer.Answer) {
+	waiting, ok := g.waiting[answer.Query.ID]
+	if !ok {
+		return
+	}
+	delete(g.waiting, answer.Query.ID)
+	waiting <- answer
+}
+
+// ask runs a question inside the loop and waits for it.
+func (g *Gateway) ask(ctx context.Context, question event) error {
+	answered := make(chan struct{})
+	wrapped := func(now time.Time) {
+		question(now)
+		close(answered)
+	}
+	select {
+	case g.events <- wrapped:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.done:
+		return errStopping
+	}
+	select {
+	case <-answered:
+		return nil
+	case <-g.done:
+		return errStopping
+	}
+}
+
+// query runs one search to its answer.
+func (g *Gateway) query(ctx context.Context, query gatherer.Query) (gatherer.Answer, error) {
+	query.ID = g.lastQuery.Add(1)
+	waiting := make(chan gatherer.Answer, 1)
+	err := g.ask(ctx, func(now time.Time) {
+		g.waiting[query.ID] = waiting
+		g.machine.Start(now, query)
+	})
+	if err != nil {
+		return gatherer.Answer{}, err
+	}
+	select {
+	case answer := <-waiting:
+		g.meter.answer(answer)
+		return answer, nil
+	case <-ctx.Done():
+		g.abandon(query.ID)
+		return gatherer.Answer{}, ctx.Err()
+	case <-g.done:
+		return gatherer.Answer{}, errStopping
+	}
+}
+
+func (g *Gateway) abandon(id uint64) {
+	_ = g.ask(context.Background(), func(time.Time) {
+		delete(g.waiting, id)
+		g.machine.Abandon(id)
+	})
+}
+
+// configure puts a newer configuration in force, and passes over any other.
+func (g *Gateway) configure(config *wire.Config) {
+	if config == nil {
+		return
+	}
+	_ = g.ask(context.Background(), func(now time.Time) {
+		if !g.machine.Configure(now, config) {
+			return
+		}
+		g.ready.Store(true)
+		g.log.Info("configuration in force", "revision", config.GetRevision())
+	})
+}
--- /dev/null
+++ b/internal/transport/listener/listener.go
@@ -0,0 +1,90 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	dialTimeout   = time.Second
+	pingAfter     = 2 * time.Second
+	pingTimeout   = 2 * time.Second
+)
+
+// Server is an HTTP server that is listening.
+type Server struct {
+	http    *http.Server
+	address string
+	done    chan struct{}
+}
+
+// New starts serving the handler on the address.
+func New(address string, handler http.Handler) (*Server, error) {
+	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			Protocols:         protocols(true),
+		},
+		address: socket.Addr().String(),
+		done:    make(chan struct{}),
+	}
+	go s.run(socket)
+	return s, nil
+}
+
+// Address returns the host and port that the server listens on.
+func (s *Server) Address() string { return s.address }
+
+// Shutdown answers every request in flight, then stops; a context that ends earlier cuts the rest off.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, s.http.Close())
+	}
+	<-s.done
+	return err
+}
+
+// Close cuts everything off at once.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+func (s *Server) run(socket net.Listener) {
+	defer close(s.done)
+	_ = s.http.Serve(socket)
+}
+
+// NewClient returns a client for the project's own processes: one multiplexed connection an address.
+func NewClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{
+				Timeout: dialTimeout,
+			}).DialContext,
+			Protocols: protocols(false),
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: pingAfter,
+				PingTimeout:     pingTimeout,
+			},
+		},
+	}
+}
+
+func protocols(http1 bool) *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(http1)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
--- /dev/null
+++ b/internal/transport/operator/instances.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/controller"
+	"pimentogate.example/pimentogate/internal/transport/gateway"
+	"pimentogate.example/pimentogate/internal/transport/logger"
+	"pimentogate.example/pimentogate/internal/transport/storer"
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// shutdownLimit bounds how long requests in flight are waited for; callers' deadlines are shorter.
+const shutdownLimit = 2 * time.Minute
+
+func (o *Operator) form(flags *flag.FlagSet, arguments []string) error {
+	path := flags.String("settings", "", "settings file of the control instance")
+	if err := parse(flags, arguments, 0); err != nil {
+		return err
+	}
+	settings, err := checker.ReadControl(*path)
+	if err != nil {
+		return settingsError(*path, err)
+	}
+	return storer.Form(settings.DataFolder, settings.Instance, membersOf(settings))
+}
+
+func membersOf(settings *checker.Control) []*wire.ControlMember {
+	members := make([]*wire.ControlMember, 0, len(settings.Members))
+	for _, member := range settings.Members {
+		members = append(members, &wire.ControlMember{
+			Id:      member.ID,
+			Address: member.Address,
+		})
+	}
+	return members
+}
+
+func (o *Operator) control(flags *flag.FlagSet, arguments []string) error {
+	path := flags.String("settings", "", "settings file of the control instance")
+	if err := parse(flags, arguments, 0); err != nil {
+		return err
+	}
+	settings, err := checker.ReadControl(*path)
+	if err != nil {
+		return settingsError(*path, err)
+	}
+	c, err := controller.New(settings, logger.New(o.errOut, settings.LogLevel))
+	if err != nil {
+		return err
+	}
+	waitForSignal()
+	return c.Close()
+}
+
+func (o *Operator) entry(flags *flag.FlagSet, arguments []string) error {
+	path := flags.String("settings", "", "settings file of the entry instance")
+	if err := parse(flags, arguments, 0); err != nil {
+		return err
+	}
+	settings, err := checker.ReadEntry(*path)
+	if err != nil {
+		return settingsError(*path, err)
+	}
+	g, err := gateway.New(settings, logger.New(o.errOut, settings.LogLevel))
+	if err != nil {
+		return err
+	}
+	waitForSignal()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	return g.Shutdown(ctx)
+}
+
+func (o *Operator) check(flags *flag.FlagSet, arguments []string) error {
+	kind := flags.String("kind", "entry", "what the file is for: entry, control or standin")
+	if err := parse(flags, arguments, 1); err != nil {
+		return err
+	}
+	path := flags.Arg(0)
+	var err error
+	switch *kind {
+	case "entry":
+		_, err = checker.ReadEntry(path)
+	case "control":
+		_, err = checker.ReadControl(path)
+	case "standin":
+		_, err = checker.ReadStandin(path)
+	default:
+		err = &UsageError{
+			Reason: fmt.Sprintf("-kind %q: must be entry, control or standin", *kind),
+		}
+	}
+	if err != nil {
+		return settingsError(path, err)
+	}
+	fmt.Fprintf(o.out, "%s: no mistakes\n", path)
+	return nil
+}
+
+func settingsError(path string, err error) error {
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return err
+	}
+	return &UsageError{
+		Reason: fmt.Sprintf("settings file %q:\n%s", path, err),
+	}
+}
+
+func waitForSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+}
--- /dev/null
+++ b/internal/transport/responder/data.go
@@ -0,0 +1,25 @@
+package responder
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentogate.example/pimentogate/internal/coordination/merger"
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// Rows returns the best rows of one shard in one version for a query: the same on every replica, and different in every version.
+func Rows(service, shard string, version uint64, query string, limit, count int) []*wire.Row {
+	rows := make([]*wire.Row, 0, count)
+	for i := range count {
+		key := fmt.Sprintf("%s/%s/%d", service, shard, i)
+		sum := xxhash.Sum64String(fmt.Sprintf("%s@%d?%s", key, version, query))
+		rows = append(rows, &wire.Row{
+			Key:   key,
+			Score: float64(sum >> 11),
+			Value: fmt.Sprintf("v%d:%s", version, query),
+		})
+	}
+	return merger.Merge([][]*wire.Row{rows}, limit)
+}
--- /dev/null
+++ b/internal/transport/storer/storer.go
@@ -0,0 +1,245 @@
+package storer
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"pimentogate.example/pimentogate/internal/state/journaler"
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+const (
+	journalName  = "journal"
+	snapshotName = "snapshot"
+	folderMode   = 0o750
+	fileMode     = 0o640
+)
+
+// Storer is the open journal of one data folder.
+type Storer struct {
+	folder string
+	file   *os.File
+	hard   *wire.HardState
+	// entries are those in the file, kept to rewrite it behind a snapshot.
+	entries []*wire.JournalEntry
+}
+
+// ErrEmpty says that the data folder holds no journal.
+var ErrEmpty = errors.New("the data folder holds no journal; see pimentogate form -h")
+
+// Form writes the first journal of an instance into an empty data folder, with the first membership.
+func Form(folder, id string, members []*wire.ControlMember) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if _, err := os.Stat(filepath.Join(folder, journalName)); err == nil {
+		return fmt.Errorf("data folder %s holds a journal already", folder)
+	}
+	snapshot := &wire.JournalSnapshot{
+		Members: &wire.MemberList{
+			Members: members,
+		},
+	}
+	if err := writeSnapshot(folder, snapshot); err != nil {
+		return err
+	}
+	return writeJournal(folder, &wire.HardState{
+		Id: id,
+	}, nil)
+}
+
+// Open reads what the data folder holds, cutting a torn tail, and returns it with the open journal; ErrEmpty where there is none.
+func Open(folder string) (*Storer, journaler.Saved, error) {
+	var saved journaler.Saved
+	snapshot, err := readSnapshot(folder)
+	if err != nil {
+		return nil, saved, err
+	}
+	path := filepath.Join(folder, journalName)
+	content, err := readJournal(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, saved, ErrEmpty
+	}
+	if err != nil {
+		return nil, saved, err
+	}
+	file, err := openTail(path, content.end)
+	if err != nil {
+		return nil, saved, err
+	}
+	saved = journaler.Saved{
+		Hard:     content.hard,
+		Snapshot: snapshot,
+		Entries:  after(content.entries, snapshot.GetIndex()),
+	}
+	s := &Storer{
+		folder:  folder,
+		file:    file,
+		hard:    content.hard,
+		entries: saved.Entries,
+	}
+	return s, saved, nil
+}
+
+// Save makes the actions durable; on an error nothing may be sent or applied.
+func (s *Storer) Save(actions journaler.Actions) error {
+	records := recordsOf(actions)
+	s.note(actions)
+	if actions.Snapshot != nil {
+		return s.replace(actions.Snapshot)
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	frames, err := encodeFrames(records)
+	if err != nil {
+		return err
+	}
+	if _, err := s.file.Write(frames); err != nil {
+		return fmt.Errorf("write journal: %w", err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return fmt.Errorf("sync journal: %w", err)
+	}
+	return nil
+}
+
+// Close closes the journal's file.
+func (s *Storer) Close() error {
+	if err := s.file.Close(); err != nil {
+		return fmt.Errorf("close journal: %w", err)
+	}
+	return nil
+}
+
+// note keeps the storer's view of the file in step with what is written.
+func (s *Storer) note(actions journaler.Actions) {
+	if actions.Hard != nil {
+		s.hard = actions.Hard
+	}
+	if actions.TruncateFrom > 0 {
+		s.entries = before(s.entries, actions.TruncateFrom)
+	}
+	s.entries = append(s.entries, actions.Entries...)
+}
+
+// replace writes the snapshot, then a journal that holds just what comes after it.
+func (s *Storer) replace(snapshot *wire.JournalSnapshot) error {
+	if err := writeSnapshot(s.folder, snapshot); err != nil {
+		return err
+	}
+	s.entries = after(s.entries, snapshot.GetIndex())
+	if err := writeJournal(s.folder, s.hard, s.entries); err != nil {
+		return err
+	}
+	if err := s.file.Close(); err != nil {
+		return fmt.Errorf("close old journal: %w", err)
+	}
+	path := filepath.Join(s.folder, journalName)
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("open new journal: %w", err)
+	}
+	s.file = file
+	return nil
+}
+
+func recordsOf(actions journaler.Actions) []*wire.JournalRecord {
+	var records []*wire.JournalRecord
+	if actions.Hard != nil {
+		records = append(records, hardRecord(actions.Hard))
+	}
+	if actions.TruncateFrom > 0 {
+		records = append(records, &wire.JournalRecord{
+			Record: &wire.JournalRecord_TruncateFrom{
+				TruncateFrom: actions.TruncateFrom,
+			},
+		})
+	}
+	for _, entry := range actions.Entries {
+		records = append(records, entryRecord(entry))
+	}
+	return records
+}
+
+func hardRecord(hard *wire.HardState) *wire.JournalRecord {
+	return &wire.JournalRecord{
+		Record: &wire.JournalRecord_Hard{
+			Hard: hard,
+		},
+	}
+}
+
+func entryRecord(entry *wire.JournalEntry) *wire.JournalRecord {
+	return &wire.JournalRecord{
+		Record: &wire.JournalRecord_Entry{
+			Entry: entry,
+		},
+	}
+}
+
+func writeJournal(folder string, hard *wire.HardState, entries []*wire.JournalEntry) error {
+	records := []*wire.JournalRecord{hardRecord(hard)}
+	for _, entry := range entries {
+		records = append(records, entryRecord(entry))
+	}
+	frames, err := encodeFrames(records)
+	if err != nil {
+		return err
+	}
+	return replaceFile(folder, journalName, frames)
+}
+
+func writeSnapshot(folder string, snapshot *wire.JournalSnapshot) error {
+	frame, err := encodeFrame(snapshot)
+	if err != nil {
+		return err
+	}
+	return replaceFile(folder, snapshotName, frame)
+}
+
+func readSnapshot(folder string) (*wire.JournalSnapshot, error) {
+	snapshot := &wire.JournalSnapshot{}
+	content, err := os.ReadFile(filepath.Join(folder, snapshotName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return snapshot, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read snapshot: %w", err)
+	}
+	payload, _, ok := decodeFrame(content)
+	if !ok {
+		return nil, &CorruptError{
+			File: snapshotName,
+		}
+	}
+	if err := proto.Unmarshal(payload, snapshot); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	return snapshot, nil
+}
+
+func after(entries []*wire.JournalEntry, index uint64) []*wire.JournalEntry {
+	var kept []*wire.JournalEntry
+	for _, entry := range entries {
+		if entry.GetIndex() > index {
+			kept = append(kept, entry)
+		}
+	}
+	return kept
+}
+
+func before(entries []*wire.JournalEntry, index uint64) []*wire.JournalEntry {
+	var kept []*wire.JournalEntry
+	for _, entry := range entries {
+		if entry.GetIndex() < index {
+			kept = append(kept, entry)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/pkg/announcer/doc.go
@@ -0,0 +1,2 @@
+// Package announcer announces an upstream to pimentogate's entry instances, as a lease that it renews.
+package announcer
--- /dev/null
+++ b/pkg/wire/coverage.go
@@ -0,0 +1,4 @@
+package wire
+
+// CoverageWhole is full coverage in the millionths that messages carry.
+const CoverageWhole = 1_000_000
