Split the wire messages by subject

Cause: one proto file of 500 lines held seven subjects, and parts that are built side by side would meet in it. Change: one file a subject, same package; generated code likewise.

--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 module=pimentogate.example/pimentogate
-protoc -I proto --go_out=. --go_opt=module=$module --connect-go_out=. --connect-go_opt=module=$module proto/pimentogate.proto
+protoc -I proto --go_out=. --go_opt=module=$module --connect-go_out=. --connect-go_opt=module=$module proto/*.proto
