Restart a query whose version is withdrawn, and bound its retries

Cause: the machine gave a shard up for good when its version was withdrawn, when it had no replica at the start, or when no token was left; it asked the same dead replica again until the budget was empty (21 attempts at a shard with 2 replicas); a refusal for a version no longer held drained the budget as if the upstream shed load; and the drained budget earned again at once. Tick went through every query.

Change: pin, restart on a newer version that covers more, believe a denied holding, ask each replica once, keep shards without a replica until the query ends, a heap of deadlines, a rest for replicas that fail, cancels before sends. The routing policy has a name (round-robin, two-choices, owner); owner queues at the slots by earliest deadline, not yet in force.

Before (tests against the code as it was): withdrawn halfway, repartition, replica appears, all replicas lost, storm at one shard failed. With the check of version, attempt, shard or completeness taken out of fits, or a weight off by one, the tests fail. The slot check of TestAnyOrder found an attempt cancelled in the batch that sent it, which then ran on unseen; it is now never sent.

--- a/internal/coordination/gatherer/gather.go
+++ b/internal/coordination/gatherer/gather.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/merger"
+	"pimentogate.example/pimentogate/internal/coordination/queuer"
+	"pimentogate.example/pimentogate/internal/coordination/registrar"
 	"pimentogate.example/pimentogate/internal/coordination/versioner"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
@@ -14,38 +16,56 @@
 	query    Query
 	manifest *wire.Manifest
 	shards   []*shardState
+	restarts int
+	over     bool
 }
 
 type shardState struct {
+	gather   *gather
 	name     string
 	weight   uint64
 	rows     []*wire.Row
 	done     bool
-	failed   bool
 	tried    []string
 	attempts []*attempt
+	// waiting is the sub-request's place in the queues, or nil.
+	waiting *queuer.Item[*task]
+}
+
+// task is a sub-request that waits for a slot.
+type task struct {
+	shard *shardState
+	kind  AttemptKind
+	since time.Time
 }
 
 type attempt struct {
-	id       uint64
-	gather   *gather
-	shard    *shardState
-	upstream string
-	sentAt   time.Time
+	id      uint64
+	shard   *shardState
+	version uint64
+	replica *registrar.Replica
+	sentAt  time.Time
 }
 
 func newGather(query Query, manifest *wire.Manifest) *gather {
 	g := &gather{
-		query:    query,
-		manifest: manifest,
+		query: query,
 	}
+	g.pin(manifest)
+	return g
+}
+
+// pin sets the version, and forgets whatever was gathered from another.
+func (g *gather) pin(manifest *wire.Manifest) {
+	g.manifest = manifest
+	g.shards = make([]*shardState, 0, len(manifest.GetShards()))
 	for _, shard := range manifest.GetShards() {
 		g.shards = append(g.shards, &shardState{
+			gather: g,
 			name:   shard.GetShard(),
 			weight: shard.GetWeight(),
 		})
 	}
-	return g
 }
 
 func (g *gather) request(a *attempt) *wire.SearchRequest {
@@ -59,11 +79,14 @@
 	}
 }
 
+// deadline is when gathering ends, in time for the answer.
+func (g *gather) deadline() time.Time { return g.query.Deadline.Add(-answerMargin) }
+
 // fits reports whether the reply is the whole answer to this very attempt.
 func (a *attempt) fits(reply *wire.SearchResponse) bool {
 	return reply.GetAttempt() == a.id &&
 		reply.GetShard() == a.shard.name &&
-		reply.GetVersion() == a.gather.manifest.GetVersion() &&
+		reply.GetVersion() == a.version &&
 		reply.GetComplete() &&
 		int(reply.GetRowCount()) == len(reply.GetRows())
 }
@@ -72,14 +95,30 @@
 	s.attempts = slices.DeleteFunc(s.attempts, func(other *attempt) bool { return other == a })
 }
 
-// isOver reports whether no shard can still be answered.
+// isPending reports whether a reply may still come.
+func (s *shardState) isPending() bool {
+	return !s.done && (len(s.attempts) > 0 || s.waiting != nil)
+}
+
+// isLost reports whether the shard is neither answered nor asked.
+func (s *shardState) isLost() bool {
+	return !s.done && !s.isPending()
+}
+
+// isOver reports whether no reply is awaited.
 func (g *gather) isOver() bool {
+	return !slices.ContainsFunc(g.shards, (*shardState).isPending)
+}
+
+// reachable is the coverage if every reply awaited comes.
+func (g *gather) reachable() uint32 {
+	var covered uint64
 	for _, s := range g.shards {
-		if !s.done && !s.failed {
-			return false
+		if !s.isLost() {
+			covered += s.weight
 		}
 	}
-	return true
+	return versioner.Coverage(covered, versioner.Total(g.manifest))
 }
 
 func (g *gather) answer(now time.Time, revision uint64, reason Reason) Answer {
--- a/internal/coordination/gatherer/machine.go
+++ b/internal/coordination/gatherer/machine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
+	"pimentogate.example/pimentogate/internal/coordination/queuer"
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
 	"pimentogate.example/pimentogate/internal/coordination/router"
 	"pimentogate.example/pimentogate/internal/coordination/versioner"
@@ -17,7 +18,9 @@
 	// retryAfterBusy is when a refused caller may come back.
 	retryAfterBusy = time.Second
 	// budgetTokens is the most retries and hedges in one burst.
-	budgetTokens = 20
+	budgetTokens = 100
+	// mostRestarts bounds how often one query is begun anew.
+	mostRestarts = 2
 )
 
 // Machine is one entry instance's queries in flight and what they are routed by.
@@ -31,7 +34,19 @@
 	gathers     map[uint64]*gather
 	attempts    map[uint64]*attempt
 	lastAttempt uint64
-	actions     Actions
+	queue       *queuer.Queuer[*task]
+	deadlines   *queuer.Heap[deadline]
+	hedges      *queuer.Heap[hedge]
+	// incomplete are the queries with a shard that is neither answered nor asked.
+	incomplete map[uint64]*gather
+	withdrawn  map[withdrawnKey]time.Time
+	cleanAt    time.Time
+	actions    Actions
+}
+
+type deadline struct {
+	at    time.Time
+	query uint64
 }
 
 // New returns a machine without configuration, which refuses every query; attempt ids go on from firstAttempt.
@@ -45,6 +60,11 @@
 		gathers:     map[uint64]*gather{},
 		attempts:    map[uint64]*attempt{},
 		lastAttempt: firstAttempt,
+		queue:       queuer.New[*task](),
+		deadlines:   queuer.NewHeap(func(a, b deadline) bool { return a.at.Before(b.at) }),
+		hedges:      queuer.NewHeap(func(a, b hedge) bool { return a.at.Before(b.at) }),
+		incomplete:  map[uint64]*gather{},
+		withdrawn:   map[withdrawnKey]time.Time{},
 	}
 }
 
@@ -83,17 +103,22 @@
 		m.refuse(now, query, ReasonTenantLimit, wait)
 		return
 	}
-	choice, ok := m.chooseVersion(query)
+	choice, ok := m.chooseVersion(now, query)
 	if !ok {
 		m.refuse(now, query, ReasonNoUpstream, retryAfterBusy)
 		return
 	}
 	g := newGather(query, choice.Manifest)
-	m.gathers[query.ID] = g
-	for _, s := range g.shards {
-		m.sendFirst(now, g, s)
+	if ok, wait := m.admit(now, g); !ok {
+		m.refuse(now, query, ReasonOverload, wait)
+		return
 	}
-	m.finishIfDone(now, g)
+	m.gathers[query.ID] = g
+	m.deadlines.Push(deadline{
+		at:    g.deadline(),
+		query: query.ID,
+	})
+	m.fanOut(now, g)
 }
 
 // Reply takes an upstream's reply to an attempt; one that does not fit its attempt counts as a failure.
@@ -103,17 +128,21 @@
 		return
 	}
 	if reply.GetLeaving() {
-		m.Registrar.MarkLeaving(a.upstream)
+		m.Registrar.MarkLeaving(a.replica.Upstream)
 	}
 	if !a.fits(reply) {
-		m.Fail(now, id, Failure{})
+		m.Fail(now, id, Failure{
+			NotHeld: reply.GetVersion() != a.version,
+		})
 		return
 	}
-	m.endAttempt(a, now.Sub(a.sentAt))
-	a.shard.rows = reply.GetRows()
-	a.shard.done = true
-	m.cancelRivals(a.shard)
-	m.finishIfDone(now, a.gather)
+	s := a.shard
+	m.Router.Answered(a.replica.Upstream, s.gather.query.Service, now.Sub(a.sentAt))
+	s.rows = reply.GetRows()
+	s.done = true
+	m.endAttempt(now, a)
+	m.cancelRivals(now, s)
+	m.finishIfOver(now, s.gather)
 }
 
 // Fail takes the end of an attempt without a usable reply.
@@ -122,45 +151,62 @@
 	if !ok {
 		return
 	}
-	m.endAttempt(a, 0)
-	if failure.Leaving {
-		m.Registrar.MarkLeaving(a.upstream)
+	m.learn(now, a, failure)
+	m.endAttempt(now, a)
+	s := a.shard
+	if s.isLost() {
+		m.reconsider(now, s)
 	}
-	if failure.Shed {
-		m.Budget.Drain()
+	m.finishIfOver(now, s.gather)
+}
+
+// learn keeps what a failure says about its replica.
+func (m *Machine) learn(now time.Time, a *attempt, failure Failure) {
+	switch {
+	case failure.Leaving:
+		m.Registrar.MarkLeaving(a.replica.Upstream)
+	case failure.NotHeld:
+		m.markWithdrawn(now, a)
+	default:
+		m.Router.Failed(now, a.replica.Upstream)
 	}
-	if len(a.shard.attempts) == 0 {
-		m.sendRetry(now, a.gather, a.shard)
+	if failure.Shed {
+		m.Budget.Shed(now)
 	}
-	m.finishIfDone(now, a.gather)
 }
 
 // Abandon drops a query whose caller has gone.
-func (m *Machine) Abandon(id uint64) {
+func (m *Machine) Abandon(now time.Time, id uint64) {
 	g, ok := m.gathers[id]
 	if !ok {
 		return
 	}
-	m.dropGather(g)
+	m.dropGather(now, g)
 }
 
-// Tick answers the queries whose time is up, and ends leases.
+// Tick answers the queries whose time is up, hedges stragglers, asks again where a replica has appeared, and ends leases.
 func (m *Machine) Tick(now time.Time) {
 	m.Registrar.Expire(now)
-	for _, g := range m.gathers {
-		if !now.Before(g.query.Deadline.Add(-answerMargin)) {
+	m.clean(now)
+	m.endOverdue(now)
+	m.hedgeStragglers(now)
+	m.reconsiderAll(now)
+	m.pullAll(now)
+}
+
+func (m *Machine) endOverdue(now time.Time) {
+	for {
+		next, ok := m.deadlines.Peek()
+		if !ok || now.Before(next.at) {
+			return
+		}
+		m.deadlines.Pop()
+		if g, ok := m.gathers[next.query]; ok {
 			m.finish(now, g, ReasonDeadline)
 		}
 	}
 }
 
-func (m *Machine) chooseVersion(query Query) (versioner.Choice, bool) {
-	manifests := m.Registrar.Manifests(query.Service)
-	return versioner.Choose(manifests, query.Required, func(version uint64, shard string) bool {
-		return len(m.Registrar.Replicas(query.Service, version, shard)) > 0
-	})
-}
-
 func (m *Machine) refuse(now time.Time, query Query, reason Reason, retryAfter time.Duration) {
 	m.actions.Answers = append(m.actions.Answers, Answer{
 		Query:      query,
@@ -172,64 +218,17 @@
 	})
 }
 
-func (m *Machine) sendFirst(now time.Time, g *gather, s *shardState) {
-	m.Budget.Earn()
-	m.send(now, g, s, AttemptFirst)
-}
-
-func (m *Machine) sendRetry(now time.Time, g *gather, s *shardState) {
-	if !m.Budget.Spend() {
-		s.failed = true
-		return
-	}
-	m.send(now, g, s, AttemptRetry)
-}
-
-func (m *Machine) send(now time.Time, g *gather, s *shardState, kind AttemptKind) {
-	candidates := m.Registrar.Replicas(g.query.Service, g.manifest.GetVersion(), s.name)
-	replica := m.Router.Pick(candidates, s.tried)
-	if replica == nil {
-		s.failed = true
-		return
-	}
-	m.lastAttempt++
-	a := &attempt{
-		id:       m.lastAttempt,
-		gather:   g,
-		shard:    s,
-		upstream: replica.Upstream,
-		sentAt:   now,
-	}
-	m.attempts[a.id] = a
-	s.attempts = append(s.attempts, a)
-	s.tried = append(s.tried, replica.Upstream)
-	m.Router.Sent(replica.Upstream)
-	m.actions.Sends = append(m.actions.Sends, Send{
-		Query:    g.query.ID,
-		Upstream: replica.Upstream,
-		Address:  replica.Address,
-		Request:  g.request(a),
-		Deadline: g.query.Deadline.Add(-answerMargin),
-		Kind:     kind,
-	})
-}
-
-func (m *Machine) endAttempt(a *attempt, took time.Duration) {
-	delete(m.attempts, a.id)
-	a.shard.remove(a)
-	m.Router.Done(a.upstream, took)
-}
-
-func (m *Machine) cancelRivals(s *shardState) {
-	for len(s.attempts) > 0 {
-		rival := s.attempts[0]
-		m.endAttempt(rival, 0)
-		m.actions.Cancels = append(m.actions.Cancels, rival.id)
+// fanOut asks every shard for the first time.
+func (m *Machine) fanOut(now time.Time, g *gather) {
+	for _, s := range g.shards {
+		m.Budget.Earn()
+		m.place(now, s, AttemptFirst)
 	}
+	m.finishIfOver(now, g)
 }
 
-func (m *Machine) finishIfDone(now time.Time, g *gather) {
-	if !g.isOver() {
+func (m *Machine) finishIfOver(now time.Time, g *gather) {
+	if g.over || !g.isOver() {
 		return
 	}
 	m.finish(now, g, ReasonUpstreams)
@@ -238,13 +237,30 @@
 // finish answers with what has come in; reason is used where that is not everything.
 func (m *Machine) finish(now time.Time, g *gather, reason Reason) {
 	answer := g.answer(now, m.config.GetRevision(), reason)
-	m.dropGather(g)
+	m.dropGather(now, g)
 	m.actions.Answers = append(m.actions.Answers, answer)
 }
 
-func (m *Machine) dropGather(g *gather) {
+func (m *Machine) dropGather(now time.Time, g *gather) {
+	g.over = true
 	delete(m.gathers, g.query.ID)
+	delete(m.incomplete, g.query.ID)
+	m.dropShards(now, g)
+}
+
+// dropShards takes back everything that a query has asked for.
+func (m *Machine) dropShards(now time.Time, g *gather) {
+	for _, s := range g.shards {
+		m.unqueue(s)
+	}
 	for _, s := range g.shards {
-		m.cancelRivals(s)
+		m.cancelRivals(now, s)
 	}
 }
+
+func (m *Machine) chooseVersion(now time.Time, query Query) (versioner.Choice, bool) {
+	manifests := m.Registrar.Manifests(query.Service)
+	return versioner.Choose(manifests, query.Required, func(version uint64, shard string) bool {
+		return m.isLive(now, query.Service, version, shard)
+	})
+}
--- a/internal/coordination/gatherer/types.go
+++ b/internal/coordination/gatherer/types.go
@@ -59,6 +59,8 @@
 	Deadline time.Time
 	// Kind is first, retry or hedge.
 	Kind AttemptKind
+	// Waited is how long the sub-request was queued.
+	Waited time.Duration
 }
 
 // AttemptKind says why an attempt was made.
@@ -71,12 +73,20 @@
 	AttemptHedge AttemptKind = "hedge"
 )
 
-// Actions is what the driver must do.
+// Actions is what the driver must do, cancels before sends.
 type Actions struct {
-	Sends []Send
 	// Cancels are attempts whose reply is no longer wanted.
-	Cancels []uint64
-	Answers []Answer
+	Cancels  []uint64
+	Sends    []Send
+	Answers  []Answer
+	Restarts []Restart
+}
+
+// Restart says that a query was begun anew on a newer version.
+type Restart struct {
+	Query uint64
+	From  uint64
+	To    uint64
 }
 
 // Failure is how an attempt ended without a reply.
@@ -85,4 +95,6 @@
 	Shed bool
 	// Leaving says that the upstream takes no new work.
 	Leaving bool
+	// NotHeld says that the upstream no longer holds the version.
+	NotHeld bool
 }
--- a/internal/coordination/limiter/budget.go
+++ b/internal/coordination/limiter/budget.go
@@ -1,19 +1,25 @@
 package limiter
 
-// ExtraShare is how many retries and hedges may be added to each sub-request.
-const ExtraShare = 0.05
+import "time"
+
+const (
+	// ExtraShare is how many retries and hedges may be added to each sub-request.
+	ExtraShare = 0.05
+	// shedHold is how long after an upstream has shed load nothing is added.
+	shedHold = time.Second
+)
 
 // Budget holds the tokens that retries and hedges share.
 type Budget struct {
 	tokens float64
 	most   float64
+	held   time.Time
 }
 
-// NewBudget returns a budget that saves at most the given number of tokens, and starts full.
+// NewBudget returns an empty budget that saves at most the given number of tokens.
 func NewBudget(most float64) *Budget {
 	return &Budget{
-		tokens: most,
-		most:   most,
+		most: most,
 	}
 }
 
@@ -23,15 +29,15 @@
 }
 
 // Spend takes a token for a retry or a hedge, and reports whether there was one.
-func (b *Budget) Spend() bool {
-	if b.tokens < 1 {
+func (b *Budget) Spend(now time.Time) bool {
+	if b.tokens < 1 || now.Before(b.held) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-// Drain empties the budget, as when upstreams shed load.
-func (b *Budget) Drain() {
-	b.tokens = 0
+// Shed notes that an upstream sheds load: nothing is added for a while.
+func (b *Budget) Shed(now time.Time) {
+	b.held = now.Add(shedHold)
 }
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -7,43 +7,73 @@
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
 )
 
-// latencyShare is the weight of a new observation in the moving average.
-const latencyShare = 0.2
+const (
+	// latencyShare is the weight of a new observation in the moving average.
+	latencyShare = 0.2
+	// hedgeShare of sub-requests are answered before one is hedged.
+	hedgeShare = 0.95
+	// stallFactor times the hedging delay is when a slot counts as stalled.
+	stallFactor = 2
+	// defaultHedgeDelay and defaultService stand until something was observed.
+	defaultHedgeDelay = 50 * time.Millisecond
+	defaultService    = 5 * time.Millisecond
+	// firstRest is how long a replica is passed over after one failure; it doubles with each further one.
+	firstRest = 100 * time.Millisecond
+	mostRest  = 2 * time.Second
+)
 
 type load struct {
 	inFlight int
 	latency  time.Duration
+	failures int
+	rests    time.Time
+}
+
+type speed struct {
+	mean  time.Duration
+	hedge *Quantile
 }
 
 // Router keeps each upstream's work in flight and observed latency; it is not safe for concurrent use.
 type Router struct {
+	policy Policy
+	pick   picker
 	random *rand.Rand
+	turn   uint64
 	loads  map[string]*load
+	speeds map[string]*speed
+	fresh  []*registrar.Replica
 }
 
 // New returns a router that has sent nothing yet.
-func New(random *rand.Rand) *Router {
+func New(policy Policy, random *rand.Rand) *Router {
 	return &Router{
+		policy: policy,
+		pick:   pickerOf(policy),
 		random: random,
 		loads:  map[string]*load{},
+		speeds: map[string]*speed{},
 	}
 }
 
-// Pick returns the better of two candidates drawn at random, passing over those already tried while others are left; nil where there are none.
-func (r *Router) Pick(candidates []*registrar.Replica, tried []string) *registrar.Replica {
-	fresh := untried(candidates, tried)
-	if len(fresh) == 0 {
-		fresh = candidates
-	}
-	if len(fresh) == 0 {
+// Policy returns the way of routing.
+func (r *Router) Policy() Policy { return r.policy }
+
+// Pick returns a candidate by the policy, passing over those that have just failed while others are left; nil where there are none.
+func (r *Router) Pick(now time.Time, candidates []*registrar.Replica) *registrar.Replica {
+	if len(candidates) == 0 {
 		return nil
 	}
-	first := fresh[r.random.IntN(len(fresh))]
-	second := fresh[r.random.IntN(len(fresh))]
-	if r.cost(second) < r.cost(first) {
-		return second
+	r.fresh = r.fresh[:0]
+	for _, candidate := range candidates {
+		if !r.Rests(now, candidate.Upstream) {
+			r.fresh = append(r.fresh, candidate)
+		}
 	}
-	return first
+	if len(r.fresh) == 0 {
+		return r.pick(r, candidates)
+	}
+	return r.pick(r, r.fresh)
 }
 
 // Sent notes that a sub-request went to the upstream.
@@ -51,20 +81,104 @@
 	r.load(upstream).inFlight++
 }
 
-// Done notes that a sub-request has ended, and how long it took where it was answered; 0 otherwise.
-func (r *Router) Done(upstream string, took time.Duration) {
+// Done notes that a sub-request has ended.
+func (r *Router) Done(upstream string) {
+	r.load(upstream).inFlight--
+}
+
+// Answered notes how long the upstream took to answer for the service.
+func (r *Router) Answered(upstream, service string, took time.Duration) {
 	l := r.load(upstream)
-	l.inFlight--
-	if took > 0 {
-		l.latency += time.Duration(latencyShare * float64(took-l.latency))
+	l.failures = 0
+	l.latency += time.Duration(latencyShare * float64(took-l.latency))
+	s := r.speed(service)
+	s.mean += time.Duration(latencyShare * float64(took-s.mean))
+	s.hedge.Observe(took)
+}
+
+// Failed lets the upstream rest, the longer the more often it has failed in a row.
+func (r *Router) Failed(now time.Time, upstream string) {
+	l := r.load(upstream)
+	l.rests = now.Add(min(mostRest, firstRest<<min(l.failures, 10)))
+	l.failures++
+}
+
+// Outrun notes that a rival was faster, or that the caller stopped waiting: the upstream takes at least this long.
+func (r *Router) Outrun(_ time.Time, upstream string, waited time.Duration) {
+	l := r.load(upstream)
+	if waited > l.latency {
+		l.latency += time.Duration(latencyShare * float64(waited-l.latency))
 	}
 }
 
+// Rests reports whether the upstream is passed over because it has just failed.
+func (r *Router) Rests(now time.Time, upstream string) bool {
+	l, ok := r.loads[upstream]
+	return ok && now.Before(l.rests)
+}
+
 // InFlight returns how many sub-requests the upstream has from this instance.
 func (r *Router) InFlight(upstream string) int {
 	return r.load(upstream).inFlight
 }
 
+// HedgeDelay returns after how long a sub-request of the service counts as a straggler.
+func (r *Router) HedgeDelay(service string) time.Duration {
+	return r.speed(service).hedge.Value()
+}
+
+// Stall returns after how long an attempt of the service makes its replica suspect.
+func (r *Router) Stall(service string) time.Duration {
+	return stallFactor * r.HedgeDelay(service)
+}
+
+// LongestStall returns the longest of the services' stalls.
+func (r *Router) LongestStall() time.Duration {
+	var longest time.Duration
+	for service := range r.speeds {
+		longest = max(longest, r.Stall(service))
+	}
+	return longest
+}
+
+// Service returns how long a sub-request of the service takes on average.
+func (r *Router) Service(service string) time.Duration { return r.speed(service).mean }
+
+// Forget drops what is known of idle upstreams that are not kept.
+func (r *Router) Forget(keep func(upstream string) bool) {
+	for upstream, l := range r.loads {
+		if l.inFlight == 0 && !keep(upstream) {
+			delete(r.loads, upstream)
+		}
+	}
+}
+
+func (r *Router) pickNext(candidates []*registrar.Replica) *registrar.Replica {
+	r.turn++
+	return candidates[r.turn%uint64(len(candidates))]
+}
+
+func (r *Router) pickOfTwo(candidates []*registrar.Replica) *registrar.Replica {
+	first := candidates[r.random.IntN(len(candidates))]
+	second := candidates[r.random.IntN(len(candidates))]
+	if r.cost(second) < r.cost(first) {
+		return second
+	}
+	return first
+}
+
+func (r *Router) pickLeast(candidates []*registrar.Replica) *registrar.Replica {
+	start := r.random.IntN(len(candidates))
+	best := candidates[start]
+	for i := range candidates {
+		next := candidates[(start+i)%len(candidates)]
+		if r.cost(next) < r.cost(best) {
+			best = next
+		}
+	}
+	return best
+}
+
 func (r *Router) cost(replica *registrar.Replica) float64 {
 	l := r.load(replica.Upstream)
 	return float64(l.inFlight+1) * float64(l.latency+time.Millisecond)
@@ -79,21 +193,15 @@
 	return known
 }
 
-func untried(candidates []*registrar.Replica, tried []string) []*registrar.Replica {
-	var fresh []*registrar.Replica
-	for _, candidate := range candidates {
-		if !contains(tried, candidate.Upstream) {
-			fresh = append(fresh, candidate)
-		}
-	}
-	return fresh
-}
-
-func contains(names []string, name string) bool {
-	for _, known := range names {
-		if known == name {
-			return true
+func (r *Router) speed(service string) *speed {
+	known, ok := r.speeds[service]
+	if !ok {
+		known = &speed{
+			mean:  defaultService,
+			hedge: NewQuantile(hedgeShare),
 		}
+		known.hedge.Observe(defaultHedgeDelay)
+		r.speeds[service] = known
 	}
-	return false
+	return known
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -64,7 +64,7 @@
 	g := &Gateway{
 		settings: settings,
 		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		machine:  gatherer.New(registrar.New(), router.New(random), firstAttempt),
+		machine:  gatherer.New(registrar.New(), router.New(router.TwoChoices, random), firstAttempt),
 		sender:   sender.New(ends),
 		control:  NewControlClient(settings.Control),
 		meter:    newMeter(),
@@ -159,22 +159,23 @@
 		return
 	}
 	g.machine.Fail(now, end.Attempt, gatherer.Failure{
-		Shed:    end.NotStarted != nil && !end.NotStarted.GetLeaving(),
+		Shed:    end.NotStarted != nil && !end.NotStarted.GetLeaving() && !end.NotStarted.GetNotHeld(),
+		NotHeld: end.NotStarted.GetNotHeld(),
 		Leaving: end.NotStarted.GetLeaving(),
 	})
 }
 
 func (g *Gateway) carryOut() {
 	actions := g.machine.Take()
+	for _, attempt := range actions.Cancels {
+		g.sender.Cancel(attempt)
+	}
 	for _, send := range actions.Sends {
 		g.log.V(1).Info("routed", "query", send.Query, "attempt", send.Request.GetAttempt(), "kind", send.Kind,
 			"service", send.Request.GetService(), "shard", send.Request.GetShard(), "version", send.Request.GetVersion(), "upstream", send.Upstream)
 		g.meter.attempt(send.Kind)
 		g.sender.Search(send.Address, send.Request, send.Deadline)
 	}
-	for _, attempt := range actions.Cancels {
-		g.sender.Cancel(attempt)
-	}
 	for _, answer := range actions.Answers {
 		g.hand(answer)
 	}
@@ -236,9 +237,9 @@
 }
 
 func (g *Gateway) abandon(id uint64) {
-	_ = g.ask(context.Background(), func(time.Time) {
+	_ = g.ask(context.Background(), func(now time.Time) {
 		delete(g.waiting, id)
-		g.machine.Abandon(id)
+		g.machine.Abandon(now, id)
 	})
 }
 
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -122,7 +122,7 @@
 		chosen.wait = wait
 		return chosen
 	}
-	chosen.replica = g.machine.Router.Pick(g.machine.Registrar.Holders(request.Service), nil)
+	chosen.replica = g.machine.Router.Pick(now, g.machine.Registrar.Holders(request.Service))
 	if chosen.replica == nil {
 		chosen.reason = runner.ReasonNoUpstream
 		chosen.wait = time.Second
--- a/internal/transport/responder/responder.go
+++ b/internal/transport/responder/responder.go
@@ -109,7 +109,10 @@
 func (r *Responder) Run(ctx context.Context, request *connect.Request[wire.RunRequest]) (*connect.Response[wire.RunResponse], error) {
 	ask := request.Msg
 	if r.leaving.Load() {
-		return nil, refusal("leaving", true)
+		return nil, refusal(&wire.NotStarted{
+			Reason:  "leaving",
+			Leaving: true,
+		})
 	}
 	r.noteStart(ask)
 	if err := r.work(ctx); err != nil {
@@ -143,10 +146,16 @@
 
 func (r *Responder) admit(service, shard string, version uint64) error {
 	if r.leaving.Load() {
-		return refusal("leaving", true)
+		return refusal(&wire.NotStarted{
+			Reason:  "leaving",
+			Leaving: true,
+		})
 	}
 	if service != r.settings.Service || version != r.settings.Version || !slices.Contains(r.settings.Shards, shard) {
-		return refusal("not held here", false)
+		return refusal(&wire.NotStarted{
+			Reason:  "not held here",
+			NotHeld: true,
+		})
 	}
 	return nil
 }
@@ -207,12 +216,9 @@
 }
 
 // refusal is the stand-in's word that it started nothing.
-func refusal(reason string, leaving bool) error {
-	refused := connect.NewError(connect.CodeUnavailable, errors.New(reason))
-	detail, err := connect.NewErrorDetail(&wire.NotStarted{
-		Reason:  reason,
-		Leaving: leaving,
-	})
+func refusal(word *wire.NotStarted) error {
+	refused := connect.NewError(connect.CodeUnavailable, errors.New(word.GetReason()))
+	detail, err := connect.NewErrorDetail(word)
 	if err == nil {
 		refused.AddDetail(detail)
 	}
