--- a/internal/coordination/gatherer/desk_test.go
+++ b/internal/coordination/gatherer/desk_test.go
@@ -72,7 +72,7 @@
 			},
 		},
 	}
-	for i := range 12 {
+	for i := range 20 {
 		config.Services[0].Shards = append(config.Services[0].Shards, deskShard(i))
 	}
 	d.machine.Configure(d.now, config)
--- a/internal/coordination/gatherer/machine.go
+++ b/internal/coordination/gatherer/machine.go
@@ -138,6 +138,7 @@
 	}
 	s := a.shard
 	m.Router.Answered(a.replica.Upstream, s.gather.query.Service, now.Sub(a.sentAt))
+	m.queue.Observe(now, a.replica.Upstream, now.Sub(a.sentAt), m.Router.Stall(s.gather.query.Service))
 	s.rows = reply.GetRows()
 	s.done = true
 	m.endAttempt(now, a)
--- a/internal/coordination/gatherer/placement.go
+++ b/internal/coordination/gatherer/placement.go
@@ -70,6 +70,10 @@
 		m.send(now, s, free, kind, 0)
 		return
 	}
+	m.enqueue(now, s, candidates, kind)
+}
+
+func (m *Machine) enqueue(now time.Time, s *shardState, candidates []*registrar.Replica, kind AttemptKind) {
 	s.waiting = &queuer.Item[*task]{
 		Value: &task{
 			shard: s,
@@ -165,9 +169,10 @@
 }
 
 func (m *Machine) cancelRivals(now time.Time, s *shardState) {
+	m.unqueue(s)
 	for len(s.attempts) > 0 {
 		rival := s.attempts[0]
-		m.Router.Outrun(now, rival.replica.Upstream, now.Sub(rival.sentAt))
+		m.observe(now, rival)
 		m.cancel(rival.id)
 		m.endAttempt(now, rival)
 	}
@@ -183,6 +188,16 @@
 	m.actions.Cancels = append(m.actions.Cancels, id)
 }
 
+// observe keeps how long an attempt was waited for in vain.
+func (m *Machine) observe(now time.Time, a *attempt) {
+	waited := now.Sub(a.sentAt)
+	stall := m.Router.Stall(a.shard.gather.query.Service)
+	m.Router.Outrun(a.replica.Upstream, waited)
+	if waited > stall {
+		m.queue.Observe(now, a.replica.Upstream, waited, stall)
+	}
+}
+
 func (m *Machine) unqueue(s *shardState) {
 	if s.waiting == nil {
 		return
@@ -201,14 +216,22 @@
 		s := item.Value.shard
 		s.waiting = nil
 		if !slices.ContainsFunc(m.candidates(now, s), func(c *registrar.Replica) bool { return c.Upstream == replica.Upstream }) {
-			m.reconsider(now, s)
-			m.finishIfOver(now, s.gather)
+			m.placeElsewhere(now, s)
 			continue
 		}
 		m.send(now, s, replica, item.Value.kind, now.Sub(item.Value.since))
 	}
 }
 
+// placeElsewhere goes on with a shard whose queued sub-request has lost its replica.
+func (m *Machine) placeElsewhere(now time.Time, s *shardState) {
+	if !s.isLost() {
+		return
+	}
+	m.reconsider(now, s)
+	m.finishIfOver(now, s.gather)
+}
+
 func (m *Machine) pullAll(now time.Time) {
 	for _, replica := range m.queue.Waiting() {
 		m.pull(now, replica)
@@ -225,7 +248,7 @@
 		}
 		m.hedges.Pop()
 		a, ok := m.attempts[next.attempt]
-		if !ok || len(a.shard.attempts) > 1 || m.sendHedge(now, a.shard) {
+		if !ok || len(a.shard.attempts) > 1 || a.shard.waiting != nil || m.sendHedge(now, a.shard) {
 			continue
 		}
 		again = append(again, hedge{
@@ -244,9 +267,16 @@
 		return true
 	}
 	replica := m.pickFree(now, s, candidates)
-	if replica == nil || !m.Budget.Spend(now) {
+	if replica == nil && !m.Router.Policy().Queues() {
+		return false
+	}
+	if !m.Budget.Spend(now) {
 		return false
 	}
+	if replica == nil {
+		m.enqueue(now, s, candidates, AttemptHedge)
+		return true
+	}
 	m.send(now, s, replica, AttemptHedge, 0)
 	return true
 }
--- a/internal/coordination/queuer/queuer.go
+++ b/internal/coordination/queuer/queuer.go
@@ -8,8 +8,13 @@
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
 )
 
-// stalledWaiting is how many must wait before a replica with a stalled slot is given more.
-const stalledWaiting = 10
+const (
+	// stalledWaiting is how many must wait before a suspect replica is given more.
+	stalledWaiting = 10
+	// firstPause is how long a replica that was outrun gets nothing; it doubles with each further time.
+	firstPause = 50 * time.Millisecond
+	mostPause  = 400 * time.Millisecond
+)
 
 // Item is one sub-request that waits for a slot of any of its replicas.
 type Item[T any] struct {
@@ -27,6 +32,9 @@
 	items   *Heap[*Item[T]]
 	waiting int
 	running map[uint64]time.Time
+	// outrun counts how often in a row the replica was slow; until then it gets nothing, and then one item.
+	outrun int
+	pause  time.Time
 }
 
 // Queuer keeps one queue for each owned replica, the earliest deadline first; it is not safe for concurrent use.
@@ -100,6 +108,23 @@
 	}
 }
 
+// Observe notes how long an attempt took, or was waited for in vain; one longer than stall makes the replica suspect.
+func (q *Queuer[T]) Observe(now time.Time, upstream string, took, stall time.Duration) {
+	at, ok := q.queues[upstream]
+	if !ok {
+		return
+	}
+	if took <= stall {
+		at.outrun = 0
+		return
+	}
+	if now.Before(at.pause) {
+		return
+	}
+	at.pause = now.Add(min(mostPause, firstPause<<min(at.outrun, 10)))
+	at.outrun++
+}
+
 // InFlight returns how many attempts the replica runs.
 func (q *Queuer[T]) InFlight(upstream string) int {
 	at, ok := q.queues[upstream]
@@ -171,7 +196,13 @@
 	if len(at.running) >= int(at.replica.Slots) {
 		return false
 	}
-	return at.waiting >= stalledWaiting || !at.isStalled(now, stall)
+	if at.waiting >= stalledWaiting {
+		return true
+	}
+	if at.outrun > 0 && (now.Before(at.pause) || len(at.running) > 0) {
+		return false
+	}
+	return !at.isStalled(now, stall)
 }
 
 // isStalled reports whether an attempt has been running for longer than stall.
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -39,7 +39,8 @@
 	policy Policy
 	pick   picker
 	random *rand.Rand
-	turn   uint64
+	// turns counts the picks among the candidates that begin with an upstream.
+	turns  map[string]int
 	loads  map[string]*load
 	speeds map[string]*speed
 	fresh  []*registrar.Replica
@@ -51,6 +52,7 @@
 		policy: policy,
 		pick:   pickerOf(policy),
 		random: random,
+		turns:  map[string]int{},
 		loads:  map[string]*load{},
 		speeds: map[string]*speed{},
 	}
@@ -104,7 +106,7 @@
 }
 
 // Outrun notes that a rival was faster, or that the caller stopped waiting: the upstream takes at least this long.
-func (r *Router) Outrun(_ time.Time, upstream string, waited time.Duration) {
+func (r *Router) Outrun(upstream string, waited time.Duration) {
 	l := r.load(upstream)
 	if waited > l.latency {
 		l.latency += time.Duration(latencyShare * float64(waited-l.latency))
@@ -154,8 +156,9 @@
 }
 
 func (r *Router) pickNext(candidates []*registrar.Replica) *registrar.Replica {
-	r.turn++
-	return candidates[r.turn%uint64(len(candidates))]
+	first := candidates[0].Upstream
+	r.turns[first]++
+	return candidates[r.turns[first]%len(candidates)]
 }
 
 func (r *Router) pickOfTwo(candidates []*registrar.Replica) *registrar.Replica {
