Make an announcement age on its way, and change the routing tables step by step

Cause: a relayed announcement began its lease anew at each hop, so a peer that had been cut off could bring a dead upstream back; a record was forgotten with its lease, so an older or doubled heartbeat revived it; a late leaving mark of an earlier incarnation stopped the next one; each change rebuilt every table, and each renewal was cloned three times. The announcer sent one after the other, so two dead entry instances held a leaving notice up for two seconds.

Ruled out: comparing wall clocks (instances' clocks need not agree); counting only hops (time is what must be bounded); first-seen manifests alone (two entry instances then hold different ones for ever).

Change: an announcement carries its age by the clocks that held it, and a lease never outlives its start by more than itself; silent and left upstreams stay as tombstones for a minute; a mark names its incarnation; what arrives right after this process stood still is passed over, but for notices; tables change by the record; renewals compare a digest and travel as such; buckets of digests repair what was missed; a contradicted version is unused until the lesser side's leases have run out; relayed announcements of services declared later are kept. The announcer sends at once to all and moves its incarnation past a known one; its lease is 3.5 periods, so that a lost notice ends within 2 s.

--- a/internal/coordination/gatherer/gather.go
+++ b/internal/coordination/gatherer/gather.go
@@ -27,11 +27,12 @@
 }
 
 type attempt struct {
-	id       uint64
-	gather   *gather
-	shard    *shardState
-	upstream string
-	sentAt   time.Time
+	id          uint64
+	gather      *gather
+	shard       *shardState
+	upstream    string
+	incarnation uint64
+	sentAt      time.Time
 }
 
 func newGather(query Query, manifest *wire.Manifest) *gather {
--- a/internal/coordination/gatherer/machine.go
+++ b/internal/coordination/gatherer/machine.go
@@ -103,7 +103,7 @@
 		return
 	}
 	if reply.GetLeaving() {
-		m.Registrar.MarkLeaving(a.upstream)
+		m.Registrar.MarkLeaving(a.upstream, a.incarnation)
 	}
 	if !a.fits(reply) {
 		m.Fail(now, id, Failure{})
@@ -124,7 +124,7 @@
 	}
 	m.endAttempt(a, 0)
 	if failure.Leaving {
-		m.Registrar.MarkLeaving(a.upstream)
+		m.Registrar.MarkLeaving(a.upstream, a.incarnation)
 	}
 	if failure.Shed {
 		m.Budget.Drain()
@@ -194,11 +194,12 @@
 	}
 	m.lastAttempt++
 	a := &attempt{
-		id:       m.lastAttempt,
-		gather:   g,
-		shard:    s,
-		upstream: replica.Upstream,
-		sentAt:   now,
+		id:          m.lastAttempt,
+		gather:      g,
+		shard:       s,
+		upstream:    replica.Upstream,
+		incarnation: replica.Incarnation,
+		sentAt:      now,
 	}
 	m.attempts[a.id] = a
 	s.attempts = append(s.attempts, a)
--- a/internal/coordination/registrar/check.go
+++ b/internal/coordination/registrar/check.go
@@ -5,14 +5,13 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
+// check compares an announcement with what is declared; before there is a configuration, everything may be.
 func (r *Registrar) check(ann *wire.Announcement) error {
-	if err := checkIdentity(ann); err != nil {
-		return err
+	if r.config.GetRevision() == 0 {
+		return nil
 	}
 	for _, manifest := range ann.GetManifests() {
 		if err := r.checkManifest(manifest); err != nil {
@@ -64,14 +63,6 @@
 }
 
 func (r *Registrar) checkManifest(manifest *wire.Manifest) error {
-	known, ok := r.manifests[keyOfManifest(manifest)]
-	if ok && !proto.Equal(known, manifest) {
-		return &AnnouncementError{
-			Field:  "manifests",
-			Value:  fmt.Sprintf("%s version %d", manifest.GetService(), manifest.GetVersion()),
-			Reason: "contradicts the manifest already known for this version",
-		}
-	}
 	if len(manifest.GetShards()) == 0 {
 		return &AnnouncementError{
 			Field:  "manifests",
@@ -125,10 +116,14 @@
 			return manifest
 		}
 	}
-	return r.manifests[manifestKey{
+	known := r.manifests.holding(manifestKey{
 		service: holding.GetService(),
 		version: holding.GetVersion(),
-	}]
+	})
+	if known == nil {
+		return nil
+	}
+	return known.manifest
 }
 
 func (r *Registrar) checkDeclared(name, shard string) error {
--- /dev/null
+++ b/internal/coordination/registrar/property_test.go
@@ -0,0 +1,221 @@
+package registrar
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// seed is fixed, so that every run of the tests draws the same cases.
+const seed = "4217"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if value := flag.Lookup("rapid.seed"); value != nil && value.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", seed)
+	}
+	m.Run()
+}
+
+// TestNoWorkAfterLeaving lets one upstream announce and leave while its messages are lost, doubled, reordered, kept and relayed between three instances whose clocks disagree.
+func TestNoWorkAfterLeaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 60 {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond)
+			w.act(t)
+			w.check(t)
+		}
+		w.now = w.now.Add(2 * time.Second)
+		w.check(t)
+	})
+}
+
+type held struct {
+	ann    *wire.Announcement
+	sentAt time.Time
+}
+
+// world is the instances, and what is on its way to them.
+type world struct {
+	now      time.Time
+	tables   []*Registrar
+	offsets  []time.Duration
+	onWay    []held
+	sequence uint64
+	leftAt   time.Time
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		now: start,
+	}
+	for i := range 3 {
+		w.tables = append(w.tables, configured())
+		w.offsets = append(w.offsets, time.Duration(rapid.IntRange(-3600, 3600).Draw(t, fmt.Sprintf("clock %d", i)))*time.Second)
+	}
+	return w
+}
+
+func (w *world) clock(i int) time.Time { return w.now.Add(w.offsets[i]) }
+
+func (w *world) act(t *rapid.T) {
+	i := rapid.IntRange(0, 2).Draw(t, "instance")
+	switch rapid.SampledFrom([]string{"heartbeat", "leave", "deliver", "relay", "repair"}).Draw(t, "event") {
+	case "heartbeat":
+		w.send(false)
+	case "leave":
+		w.send(true)
+	case "deliver":
+		w.deliver(t, i)
+	case "relay":
+		w.relay(i, rapid.IntRange(0, 2).Draw(t, "peer"))
+	case "repair":
+		w.repair(i, rapid.IntRange(0, 2).Draw(t, "peer"))
+	}
+}
+
+func (w *world) send(isLeaving bool) {
+	if !w.leftAt.IsZero() {
+		return
+	}
+	w.sequence++
+	ann := announcement("u", 1, w.sequence)
+	if isLeaving {
+		ann.Leaving = true
+		w.leftAt = w.now
+	}
+	w.onWay = append(w.onWay, held{
+		ann:    ann,
+		sentAt: w.now,
+	})
+}
+
+// deliver hands over any message ever sent, again too; one that is older than its sender waits for was dropped with its connection.
+func (w *world) deliver(t *rapid.T, i int) {
+	if len(w.onWay) == 0 {
+		return
+	}
+	h := w.onWay[rapid.IntRange(0, len(w.onWay)-1).Draw(t, "message")]
+	if w.now.Sub(h.sentAt) > 200*time.Millisecond {
+		return
+	}
+	_, _ = w.tables[i].Announce(w.clock(i), proto.CloneOf(h.ann))
+}
+
+func (w *world) relay(from, to int) {
+	full, renewals := w.tables[from].Batch(w.clock(from), 10)
+	for _, ann := range full {
+		w.tables[to].Relay(w.clock(to), ann)
+	}
+	for _, renewal := range renewals {
+		w.tables[to].Renew(w.clock(to), renewal)
+	}
+}
+
+func (w *world) repair(from, to int) {
+	for _, ann := range w.tables[from].Repair(w.clock(from), w.tables[to].Digests(), 0, 10) {
+		w.tables[to].Relay(w.clock(to), ann)
+	}
+}
+
+func (w *world) check(t *rapid.T) {
+	for i, table := range w.tables {
+		table.Expire(w.clock(i))
+		if !w.leftAt.IsZero() && w.now.Sub(w.leftAt) >= 2*time.Second && table.takesWork("u") {
+			t.Fatalf("instance %d gives work %s after the notice", i, w.now.Sub(w.leftAt))
+		}
+		if tables := incremental(table); tables != "" {
+			t.Fatalf("instance %d: %s", i, tables)
+		}
+	}
+}
+
+// incremental compares the tables that were changed step by step with some filled anew.
+func incremental(r *Registrar) string {
+	anew := configured()
+	for _, known := range r.records {
+		next := *known
+		anew.change(&next, func() { anew.records[next.announcement.GetUpstream()] = &next })
+	}
+	got := fmt.Sprint(len(r.Replicas("s", 1, "a")), len(r.Holders("s")), len(r.Manifests("s")), r.Digests())
+	want := fmt.Sprint(len(anew.Replicas("s", 1, "a")), len(anew.Holders("s")), len(anew.Manifests("s")), anew.Digests())
+	if got != want {
+		return "tables " + got + ", want " + want
+	}
+	return ""
+}
+
+// sized returns a table of services with 50 shards of two replicas each, and the announcement of its first upstream.
+func sized(upstreams int) (*Registrar, *wire.Announcement) {
+	const perService = 100
+	declared := &wire.Config{
+		Revision: 1,
+	}
+	var announcements []*wire.Announcement
+	for i := range upstreams {
+		ann := announcement(fmt.Sprintf("u%d", i), 1, 1)
+		ann.Manifests[0].Service = fmt.Sprintf("s%d", i/perService)
+		ann.Holdings[0].Service = ann.GetManifests()[0].GetService()
+		ann.Manifests[0].Shards = nil
+		for shard := range perService / 2 {
+			ann.Manifests[0].Shards = append(ann.Manifests[0].Shards, &wire.ShardWeight{
+				Shard:  fmt.Sprintf("shard-%d", shard),
+				Weight: 1,
+			})
+		}
+		ann.Holdings[0].Shard = fmt.Sprintf("shard-%d", i%(perService/2))
+		announcements = append(announcements, ann)
+	}
+	for i := range (upstreams + perService - 1) / perService {
+		service := &wire.Service{
+			Name: fmt.Sprintf("s%d", i),
+		}
+		for shard := range perService / 2 {
+			service.Shards = append(service.Shards, fmt.Sprintf("shard-%d", shard))
+		}
+		declared.Services = append(declared.Services, service)
+	}
+	table := New()
+	table.Configure(declared)
+	for _, ann := range announcements {
+		_, _ = table.Announce(start, ann)
+	}
+	return table, announcements[0]
+}
+
+func BenchmarkAnnounce(b *testing.B) {
+	for _, upstreams := range []int{100, 1_000, 10_000} {
+		table, ann := sized(upstreams)
+		b.Run(fmt.Sprintf("renewal/%d", upstreams), func(b *testing.B) {
+			for b.Loop() {
+				ann.Sequence++
+				_, _ = table.Announce(start, ann)
+			}
+		})
+		b.Run(fmt.Sprintf("change/%d", upstreams), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				next := proto.CloneOf(ann)
+				next.Incarnation = uint64(i + 2)
+				_, _ = table.Announce(start, next)
+			}
+		})
+		b.Run(fmt.Sprintf("expire/%d", upstreams), func(b *testing.B) {
+			for b.Loop() {
+				table.earliest = time.Time{}
+				table.Expire(start)
+			}
+		})
+		b.Run(fmt.Sprintf("digests/%d", upstreams), func(b *testing.B) {
+			for b.Loop() {
+				table.Digests()
+			}
+		})
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -25,6 +25,8 @@
 	eventRing  = 4096
 	endRing    = 4096
 	tickPeriod = 5 * time.Millisecond
+	// stallLimit is a gap between two turns of the loop after which the process counts as having stood still.
+	stallLimit = time.Second
 )
 
 // Gateway is one running entry instance.
@@ -138,7 +140,9 @@
 	defer close(g.done)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
+		last = g.noteStall(last)
 		select {
 		case <-g.stop:
 			return
@@ -153,6 +157,17 @@
 	}
 }
 
+// noteStall ends the leases that ran out while the process stood still before anything that has waited is taken.
+func (g *Gateway) noteStall(last time.Time) time.Time {
+	now := time.Now()
+	if now.Sub(last) > stallLimit {
+		g.log.Info("stood still", "ms", now.Sub(last).Milliseconds())
+		g.machine.Registrar.Stalled(now)
+		g.machine.Tick(now)
+	}
+	return now
+}
+
 func (g *Gateway) takeEnd(now time.Time, end sender.End) {
 	if end.Reply != nil {
 		g.machine.Reply(now, end.Attempt, end.Reply)
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,15 +23,15 @@
 		return nil, err
 	}
 	return connect.NewResponse(&wire.AnnounceResponse{
-		Entries: s.gateway.settings.Peers,
+		Entries:     s.gateway.settings.Peers,
+		Incarnation: s.gateway.incarnationOf(ctx, request.Msg.GetAnnouncement().GetUpstream()),
 	}), nil
 }
 
 func (g *Gateway) announce(ctx context.Context, ann *wire.Announcement) error {
-	var news bool
 	var mistake error
 	err := g.ask(ctx, func(now time.Time) {
-		news, mistake = g.machine.Registrar.Announce(now, ann)
+		_, mistake = g.machine.Registrar.Announce(now, ann)
 	})
 	if err != nil {
 		return connect.NewError(connect.CodeUnavailable, err)
@@ -40,12 +41,18 @@
 		g.log.Info("announcement refused", "upstream", ann.GetUpstream(), "field", wrong.Field, "value", wrong.Value, "reason", wrong.Reason)
 		return connect.NewError(connect.CodeInvalidArgument, mistake)
 	}
-	if news {
-		g.spreader.push(ann)
-	}
 	return nil
 }
 
+// incarnationOf returns the newest incarnation known, by which an upstream whose clock went back finds its place.
+func (g *Gateway) incarnationOf(ctx context.Context, upstream string) uint64 {
+	var incarnation uint64
+	_ = g.ask(ctx, func(time.Time) {
+		incarnation = g.machine.Registrar.Incarnation(upstream)
+	})
+	return incarnation
+}
+
 type peerService struct {
 	wireconnect.UnimplementedPeerServiceHandler
 
@@ -55,16 +62,10 @@
 // Exchange takes what a peer knows and answers with what it lacks.
 func (s *peerService) Exchange(ctx context.Context, request *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	g := s.gateway
-	for _, ann := range request.Msg.GetAnnouncements() {
-		err := g.ask(ctx, func(now time.Time) {
-			_, _ = g.machine.Registrar.Announce(now, ann)
-		})
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, err)
-		}
-	}
 	response := &wire.ExchangeResponse{}
-	err := g.ask(ctx, func(time.Time) {
+	err := g.ask(ctx, func(now time.Time) {
+		g.learn(now, request.Msg.GetAnnouncements(), request.Msg.GetRenewals())
+		response.Announcements = g.machine.Registrar.Repair(now, request.Msg.GetDigests(), rand.IntN(repairBuckets), repairLimit)
 		if g.machine.Config().GetRevision() > request.Msg.GetRevision() {
 			response.Config = g.machine.Config()
 		}
@@ -74,3 +75,13 @@
 	}
 	return connect.NewResponse(response), nil
 }
+
+// learn takes what a peer passed on.
+func (g *Gateway) learn(now time.Time, announcements []*wire.Announcement, renewals []*wire.Renewal) {
+	for _, ann := range announcements {
+		g.machine.Registrar.Relay(now, ann)
+	}
+	for _, renewal := range renewals {
+		g.machine.Registrar.Renew(now, renewal)
+	}
+}
--- a/internal/transport/gateway/spreader.go
+++ b/internal/transport/gateway/spreader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -13,8 +14,11 @@
 )
 
 const (
-	spreadRing      = 1024
 	spreadPeriod    = 100 * time.Millisecond
+	spreadLimit     = 256
+	repairLimit     = 256
+	repairBuckets   = 256
+	repairRounds    = 10
 	exchangeTimeout = 500 * time.Millisecond
 	peerRing        = 64
 )
@@ -22,23 +26,29 @@
 // spreader hands news about upstreams to the other entry instances, a batch a round.
 type spreader struct {
 	gateway *Gateway
-	ring    chan *wire.Announcement
 	peers   []*peer
 	done    chan struct{}
 }
 
+// batch is one round's news, built once for every peer.
+type batch struct {
+	announcements []*wire.Announcement
+	renewals      []*wire.Renewal
+	builtAt       time.Time
+	repair        bool
+}
+
 // peer is one other entry instance, with a sender of its own so that a slow one holds up no other.
 type peer struct {
 	gateway *Gateway
 	client  wireconnect.PeerServiceClient
-	ring    chan []*wire.Announcement
+	ring    chan batch
 	done    chan struct{}
 }
 
 func newSpreader(g *Gateway, addresses []string) *spreader {
 	s := &spreader{
 		gateway: g,
-		ring:    make(chan *wire.Announcement, spreadRing),
 		done:    make(chan struct{}),
 	}
 	client := listener.NewClient()
@@ -52,19 +62,11 @@
 	return &peer{
 		gateway: g,
 		client:  wireconnect.NewPeerServiceClient(client, "http://"+address),
-		ring:    make(chan []*wire.Announcement, peerRing),
+		ring:    make(chan batch, peerRing),
 		done:    make(chan struct{}),
 	}
 }
 
-// push queues an announcement; what does not fit is left to the upstream's next heartbeat.
-func (s *spreader) push(ann *wire.Announcement) {
-	select {
-	case s.ring <- ann:
-	default:
-	}
-}
-
 func (s *spreader) run() {
 	defer close(s.done)
 	for _, p := range s.peers {
@@ -72,13 +74,13 @@
 	}
 	ticker := time.NewTicker(spreadPeriod)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-s.gateway.stop:
 			s.waitPeers()
 			return
 		case <-ticker.C:
-			s.spread(s.drain())
+			s.spread(s.collect(), round)
 		}
 	}
 }
@@ -89,22 +91,22 @@
 	}
 }
 
-func (s *spreader) drain() []*wire.Announcement {
-	var batch []*wire.Announcement
-	for {
-		select {
-		case ann := <-s.ring:
-			batch = append(batch, ann)
-		default:
-			return batch
-		}
-	}
+// collect takes a round's news from the table.
+func (s *spreader) collect() batch {
+	var b batch
+	_ = s.gateway.ask(context.Background(), func(now time.Time) {
+		b.announcements, b.renewals = s.gateway.machine.Registrar.Batch(now, spreadLimit)
+		b.builtAt = now
+	})
+	return b
 }
 
-func (s *spreader) spread(batch []*wire.Announcement) {
-	for _, p := range s.peers {
+// spread queues the news for every peer; one of them is asked to repair what was missed.
+func (s *spreader) spread(b batch, round int) {
+	for i, p := range s.peers {
+		b.repair = round%repairRounds == 0 && i == (round/repairRounds)%len(s.peers)
 		select {
-		case p.ring <- batch:
+		case p.ring <- b:
 		default:
 		}
 	}
@@ -122,18 +124,59 @@
 	}
 }
 
-func (p *peer) exchange(batch []*wire.Announcement) {
+func (p *peer) exchange(b batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	request := &wire.ExchangeRequest{
-		Announcements: batch,
-	}
+	sentAt := time.Now()
+	request := b.request(sentAt)
 	_ = p.gateway.ask(ctx, func(time.Time) {
 		request.Revision = p.gateway.machine.Config().GetRevision()
+		if b.repair {
+			request.Digests = p.gateway.machine.Registrar.Digests()
+		}
 	})
 	response, err := p.client.Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return
 	}
+	p.gateway.takeRepair(sentAt, response.Msg.GetAnnouncements())
 	p.gateway.configure(response.Msg.GetConfig())
 }
+
+// request ages the batch by the time it has waited here.
+func (b *batch) request(now time.Time) *wire.ExchangeRequest {
+	waited := uint32(now.Sub(b.builtAt) / time.Millisecond)
+	request := &wire.ExchangeRequest{}
+	for _, ann := range b.announcements {
+		request.Announcements = append(request.Announcements, older(ann, waited))
+	}
+	for _, renewal := range b.renewals {
+		request.Renewals = append(request.Renewals, &wire.Renewal{
+			Upstream:    renewal.GetUpstream(),
+			Incarnation: renewal.GetIncarnation(),
+			Sequence:    renewal.GetSequence(),
+			AgeMs:       renewal.GetAgeMs() + waited,
+			Content:     renewal.GetContent(),
+		})
+	}
+	return request
+}
+
+// takeRepair takes a peer's answer, which was made after sentAt and may have taken all the time since.
+func (g *Gateway) takeRepair(sentAt time.Time, announcements []*wire.Announcement) {
+	if len(announcements) == 0 {
+		return
+	}
+	_ = g.ask(context.Background(), func(now time.Time) {
+		waited := uint32(now.Sub(sentAt) / time.Millisecond)
+		for _, ann := range announcements {
+			g.machine.Registrar.Relay(now, older(ann, waited))
+		}
+	})
+}
+
+func older(ann *wire.Announcement, waitedMs uint32) *wire.Announcement {
+	copied := proto.CloneOf(ann)
+	copied.AgeMs += waitedMs
+	return copied
+}
--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,9 +15,9 @@
 )
 
 const (
-	// leasePeriods is how many renewals a lease lasts.
-	leasePeriods = 4
-	callTimeout  = time.Second
+	// leaseHalfPeriods is how long a lease lasts, in halves of the renewal period.
+	leaseHalfPeriods = 7
+	callTimeout      = time.Second
 )
 
 // Announcer renews one upstream's announcement until it leaves.
@@ -28,6 +30,8 @@
 	changes  chan *wire.Announcement
 	current  *wire.Announcement
 	report   func(error)
+	known    atomic.Uint64
+	calls    sync.WaitGroup
 	stop     chan struct{}
 	done     chan struct{}
 }
@@ -83,7 +87,7 @@
 	}
 }
 
-// announce tells two entry instances, so that one lost message loses no lease.
+// announce tells two entry instances, so that one lost message loses no lease; one that does not answer holds up nothing.
 func (a *Announcer) announce() {
 	a.stamp()
 	for range min(2, len(a.entries)) {
@@ -92,28 +96,62 @@
 	}
 }
 
+// leave tells all entry instances at once, and returns when each has answered or has had its time.
 func (a *Announcer) leave() {
 	a.current.Leaving = true
 	a.stamp()
 	for _, entry := range a.entries {
 		a.send(entry)
 	}
+	a.calls.Wait()
 }
 
 func (a *Announcer) stamp() {
+	if known := a.known.Load(); known > a.current.GetIncarnation() {
+		a.current.Incarnation = known + 1
+	}
 	a.sequence++
 	a.current.Sequence = a.sequence
-	a.current.LeaseMs = uint32(a.period.Milliseconds() * leasePeriods)
+	a.current.LeaseMs = uint32(a.period.Milliseconds() * leaseHalfPeriods / 2)
 }
 
 func (a *Announcer) send(entry string) {
+	c := &call{
+		announcer: a,
+		client:    wireconnect.NewAnnouncementServiceClient(a.client, "http://"+entry),
+		request: &wire.AnnounceRequest{
+			Announcement: proto.CloneOf(a.current),
+		},
+	}
+	a.calls.Add(1)
+	go c.run()
+}
+
+// call is one announcement on its way.
+type call struct {
+	announcer *Announcer
+	client    wireconnect.AnnouncementServiceClient
+	request   *wire.AnnounceRequest
+}
+
+func (c *call) run() {
+	defer c.announcer.calls.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	client := wireconnect.NewAnnouncementServiceClient(a.client, "http://"+entry)
-	_, err := client.Announce(ctx, connect.NewRequest(&wire.AnnounceRequest{
-		Announcement: a.current,
-	}))
+	response, err := c.client.Announce(ctx, connect.NewRequest(c.request))
 	if err != nil {
-		a.report(err)
+		c.announcer.report(err)
+		return
+	}
+	c.announcer.raise(response.Msg.GetIncarnation())
+}
+
+// raise notes the newest incarnation that an entry instance knows, which a clock that went back may have left ahead.
+func (a *Announcer) raise(known uint64) {
+	for {
+		current := a.known.Load()
+		if known <= current || a.known.CompareAndSwap(current, known) {
+			return
+		}
 	}
 }
