Give the stand-in switches that change while it runs

Cause: the other proofs need upstreams that straggle, shed, lie, cut replies, change versions and count their connections, and the stand-in could only be slow. Ruled out: one program a fault, which would not let a test change the fault under load; a fault library in the stand-in's place, since it does not know of slots, versions or starts. Before: one version, one work time.

--- a/internal/protocol/checker/decode.go
+++ b/internal/protocol/checker/decode.go
@@ -45,6 +45,7 @@
 
 type walker struct {
 	source   []byte
+	standard []byte
 	places   map[string]place
 	mistakes []Mistake
 }
@@ -71,7 +72,8 @@
 		return w, w.err()
 	}
 	tree.Standardize()
-	if err := json.Unmarshal(tree.Pack(), target); err != nil {
+	w.standard = tree.Pack()
+	if err := json.Unmarshal(w.standard, target); err != nil {
 		return w, fmt.Errorf("settings: %w", err)
 	}
 	return w, nil
@@ -181,7 +183,7 @@
 
 func fieldOf(kind reflect.Type, name string) (reflect.Type, bool) {
 	for i := range kind.NumField() {
-		if kind.Field(i).Tag.Get("json") == name {
+		if nameIn(kind.Field(i)) == name {
 			return kind.Field(i).Type, true
 		}
 	}
@@ -191,11 +193,17 @@
 func fieldNames(kind reflect.Type) []string {
 	names := make([]string, 0, kind.NumField())
 	for i := range kind.NumField() {
-		names = append(names, kind.Field(i).Tag.Get("json"))
+		names = append(names, nameIn(kind.Field(i)))
 	}
 	return names
 }
 
+// nameIn returns the name that a struct's field has in JSON.
+func nameIn(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
+
 func nameOf(kind reflect.Type) string {
 	switch kind.Kind() {
 	case reflect.String:
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 )
 
 // ControlMember is one control instance that the first membership names.
@@ -56,7 +58,10 @@
 	Connections  uint32   `json:"connections"`
 	RowsPerShard int64    `json:"rows-per-shard"`
 	WorkMs       float64  `json:"work-ms"`
+	Seed         uint64   `json:"seed"`
 	LogLevel     string   `json:"log-level"`
+	// Switches are how the stand-in behaves from its start.
+	Switches *Switches `json:"switches,omitempty"`
 }
 
 const (
@@ -150,6 +155,9 @@
 	w.need("rows-per-shard", s.RowsPerShard >= 0, "0 or more")
 	w.need("work-ms", s.WorkMs >= 0, "0 or more")
 	w.needLogLevel(s.LogLevel)
+	if s.Switches != nil {
+		checkSwitches(w, "switches", s.Switches)
+	}
 }
 
 func (w *walker) need(field string, ok bool, allowed string) {
@@ -158,6 +166,19 @@
 	}
 }
 
+// needShares complains about shares outside 0 to 1, in the order of their names.
+func (w *walker) needShares(field string, shares map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
+		w.need(join(field, name), shares[name] >= 0 && shares[name] <= 1, "from 0 to 1")
+	}
+}
+
+func (w *walker) needPositive(field string, values map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		w.need(join(field, name), values[name] >= 0, "0 or more")
+	}
+}
+
 func (w *walker) needText(field, value string) {
 	w.need(field, value != "", "a string that is not empty")
 }
--- /dev/null
+++ b/internal/protocol/checker/switches.go
@@ -0,0 +1,123 @@
+package checker
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// HeldVersion is one index version that a stand-in holds shards of.
+type HeldVersion struct {
+	Version  uint64   `json:"version"`
+	Manifest []Shard  `json:"manifest"`
+	Shards   []string `json:"shards"`
+}
+
+// Switches is how a stand-in behaves; each can be changed while it runs, and a share is a probability from 0 to 1.
+type Switches struct {
+	Versions             []HeldVersion `json:"versions,omitempty"`
+	WorkMs               float64       `json:"work-ms"`
+	WorkSigma            float64       `json:"work-sigma"`
+	StragglerFactor      float64       `json:"straggler-factor"`
+	StragglerPeriodMs    int64         `json:"straggler-period-ms"`
+	StragglerDurationMs  int64         `json:"straggler-duration-ms"`
+	StragglerOffsetMs    int64         `json:"straggler-offset-ms"`
+	ColdStartFactor      float64       `json:"cold-start-factor"`
+	ColdStartMs          int64         `json:"cold-start-ms"`
+	ShedShare            float64       `json:"shed-share"`
+	ShedAboveQueued      int64         `json:"shed-above-queued"`
+	RetryAfterMs         uint32        `json:"retry-after-ms"`
+	AbortBeforeStart     float64       `json:"abort-before-start-share"`
+	AbortAfterStart      float64       `json:"abort-after-start-share"`
+	FailAfterStart       float64       `json:"fail-after-start-share"`
+	CutReply             float64       `json:"cut-reply-share"`
+	DropRows             float64       `json:"drop-rows-share"`
+	RepeatRows           float64       `json:"repeat-rows-share"`
+	WrongVersion         float64       `json:"wrong-version-share"`
+	OtherAttempt         float64       `json:"other-attempt-share"`
+	ReplyPastCancelMs    int64         `json:"reply-past-cancel-ms"`
+	ReportFixed          bool          `json:"report-fixed"`
+	ReportInFlight       uint32        `json:"report-in-flight"`
+	ReportQueued         uint32        `json:"report-queued"`
+	ReportLagMs          int64         `json:"report-lag-ms"`
+	ConnectionLimit      uint32        `json:"connection-limit"`
+	ConnectionOpeningMs  float64       `json:"connection-opening-ms"`
+	OneWayMs             float64       `json:"one-way-ms"`
+	LeavingAnnounced     bool          `json:"leaving-announced"`
+	LeavingMarked        bool          `json:"leaving-marked"`
+	LeavingRefused       bool          `json:"leaving-refused"`
+	AnnouncementsStopped bool          `json:"announcements-stopped"`
+	AnnounceTo           []string      `json:"announce-to,omitempty"`
+}
+
+// DecodeSwitches returns the current switches with those that the source gives in their place; mistakes come as a MistakesError.
+func DecodeSwitches(source []byte, current Switches) (Switches, error) {
+	var given map[string]json.RawMessage
+	w, err := decode(source, &Switches{})
+	if err != nil {
+		return current, err
+	}
+	if err := json.Unmarshal(w.standard, &given); err != nil {
+		return current, fmt.Errorf("switches: %w", err)
+	}
+	encoded, err := json.Marshal(current)
+	if err != nil {
+		return current, fmt.Errorf("switches: %w", err)
+	}
+	merged := map[string]json.RawMessage{}
+	if err := json.Unmarshal(encoded, &merged); err != nil {
+		return current, fmt.Errorf("switches: %w", err)
+	}
+	for name, value := range given {
+		merged[name] = value
+	}
+	encoded, err = json.Marshal(merged)
+	if err != nil {
+		return current, fmt.Errorf("switches: %w", err)
+	}
+	var next Switches
+	if err := json.Unmarshal(encoded, &next); err != nil {
+		return current, fmt.Errorf("switches: %w", err)
+	}
+	checkSwitches(w, "", &next)
+	if err := w.err(); err != nil {
+		return current, err
+	}
+	return next, nil
+}
+
+func checkSwitches(w *walker, field string, s *Switches) {
+	for i, v := range s.Versions {
+		at := join(field, fmt.Sprintf("versions[%d]", i))
+		w.need(join(at, "version"), v.Version > 0, "above 0")
+		w.need(join(at, "manifest"), len(v.Manifest) > 0, "at least one shard with its weight")
+	}
+	w.needShares(field, map[string]float64{
+		"shed-share":               s.ShedShare,
+		"abort-before-start-share": s.AbortBeforeStart,
+		"abort-after-start-share":  s.AbortAfterStart,
+		"fail-after-start-share":   s.FailAfterStart,
+		"cut-reply-share":          s.CutReply,
+		"drop-rows-share":          s.DropRows,
+		"repeat-rows-share":        s.RepeatRows,
+		"wrong-version-share":      s.WrongVersion,
+		"other-attempt-share":      s.OtherAttempt,
+	})
+	w.needPositive(field, map[string]float64{
+		"work-ms":               s.WorkMs,
+		"work-sigma":            s.WorkSigma,
+		"straggler-factor":      s.StragglerFactor,
+		"straggler-period-ms":   float64(s.StragglerPeriodMs),
+		"straggler-duration-ms": float64(s.StragglerDurationMs),
+		"straggler-offset-ms":   float64(s.StragglerOffsetMs),
+		"cold-start-factor":     s.ColdStartFactor,
+		"cold-start-ms":         float64(s.ColdStartMs),
+		"shed-above-queued":     float64(s.ShedAboveQueued),
+		"reply-past-cancel-ms":  float64(s.ReplyPastCancelMs),
+		"report-lag-ms":         float64(s.ReportLagMs),
+		"connection-opening-ms": s.ConnectionOpeningMs,
+		"one-way-ms":            s.OneWayMs,
+	})
+	for i, address := range s.AnnounceTo {
+		w.needAddress(join(field, fmt.Sprintf("announce-to[%d]", i)), address)
+	}
+}
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -25,21 +25,43 @@
 
 // New starts serving the handler on the address.
 func New(address string, handler http.Handler) (*Server, error) {
+	socket, err := Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return NewOn(socket, handler, Hooks{}), nil
+}
+
+// Listen opens a listening socket on the address.
+func Listen(address string) (net.Listener, error) {
 	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	return socket, nil
+}
+
+// Hooks are told of the connections of a server; each may be nil.
+type Hooks struct {
+	State   func(net.Conn, http.ConnState)
+	Context func(context.Context, net.Conn) context.Context
+}
+
+// NewOn starts serving the handler on a socket.
+func NewOn(socket net.Listener, handler http.Handler, hooks Hooks) *Server {
 	s := &Server{
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			Protocols:         protocols(true),
+			ConnState:         hooks.State,
+			ConnContext:       hooks.Context,
 		},
 		address: socket.Addr().String(),
 		done:    make(chan struct{}),
 	}
 	go s.run(socket)
-	return s, nil
+	return s
 }
 
 // Address returns the host and port that the server listens on.
