Shut out claims that land after their holder gave up

Cause: a claim command whose call had timed out could land later and hold its key for ever, since nobody was left to dispatch or record it; so could the second copy of a claim that was told held or had ended not-run. A late claim of an earlier call could also run after a later call was told that nothing had run.

Ruled out: expiring held claims by time (the holder may be frozen between grant and write, so a second holder could run it twice); refusing late commands by the clock of the entry instance (clocks differ, and a frozen instance's command may be any age).

Change: an outcome not-run recorded before its claim leaves a mark by claim id; a call that was told held leaves one too; calls are numbered by the caller, and a higher number shuts out the lower. The sender refuses a reply that does not say where it ends, follows no redirect, and opens its connection while the claim is decided; an upstream that cannot be reached leaves the request to the next one.

Conclusion: safety rests on the ledger's holder alone; marks and numbers only keep keys from being held in vain and answers from going stale.

--- a/internal/protocol/parser/answer.go
+++ b/internal/protocol/parser/answer.go
@@ -30,12 +30,14 @@
 
 // RunAnswer is what a caller is told about its non-idempotent request.
 type RunAnswer struct {
-	RequestID       string `json:"request-id"`
-	Key             string `json:"key"`
-	Outcome         string `json:"outcome"`
-	Reason          string `json:"reason,omitempty"`
-	Result          string `json:"result,omitempty"`
-	Repeated        bool   `json:"repeated"`
+	RequestID string `json:"request-id"`
+	Key       string `json:"key"`
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason,omitempty"`
+	Result    string `json:"result,omitempty"`
+	Repeated  bool   `json:"repeated"`
+	// EarlierCalls goes with not-run: none where no earlier call of the key has run or can run, else unknown.
+	EarlierCalls    string `json:"earlier-calls,omitempty"`
 	ConfigRevision  uint64 `json:"config-revision"`
 	ConfigConfirmed bool   `json:"config-confirmed"`
 	RetryAfterMs    int64  `json:"retry-after-ms,omitempty"`
--- a/internal/protocol/parser/request.go
+++ b/internal/protocol/parser/request.go
@@ -55,6 +55,8 @@
 	Tenant    string `json:"tenant"`
 	Key       string `json:"key"`
 	KeyTime   string `json:"key-time"`
+	// Resend is 0 for the first call of the key, and one higher for each further one.
+	Resend    uint32 `json:"resend"`
 	Body      string `json:"body"`
 	TimeoutMs *int64 `json:"timeout-ms"`
 	Deadline  string `json:"deadline"`
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -45,6 +45,7 @@
 	peers     *listener.Server
 	spreader  *spreader
 	watcher   *watcher
+	concluder *concluder
 	stopOnce  sync.Once
 	stop      chan struct{}
 	done      chan struct{}
@@ -80,10 +81,12 @@
 	}
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
+	g.concluder = newConcluder(g)
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
 	go g.run()
 	go g.spreader.run()
 	go g.watcher.run()
+	go g.concluder.run()
 	return g, nil
 }
 
@@ -102,6 +105,7 @@
 	case <-ctx.Done():
 	}
 	err := g.callers.Shutdown(ctx)
+	g.concluder.close()
 	g.stopOnce.Do(func() { close(g.stop) })
 	<-g.watcher.done
 	<-g.spreader.done
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -7,7 +7,6 @@
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 
-	"pimentogate.example/pimentogate/internal/coordination/registrar"
 	"pimentogate.example/pimentogate/internal/coordination/runner"
 	"pimentogate.example/pimentogate/internal/protocol/parser"
 	"pimentogate.example/pimentogate/internal/state/cataloger"
@@ -15,11 +14,8 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-const (
-	// claimTimeout is how long the journal may take over a claim before the request is refused.
-	claimTimeout  = 500 * time.Millisecond
-	recordTimeout = 500 * time.Millisecond
-)
+// claimTimeout is how long the journal may take over a claim before the request is refused.
+const claimTimeout = 500 * time.Millisecond
 
 func (g *Gateway) serveRun(ctx iris.Context) {
 	arrived := time.Now()
@@ -44,16 +40,17 @@
 		Body:       body.Body,
 		BodyDigest: body.BodyDigest(),
 		Deadline:   deadline,
+		Call:       body.Resend,
 	}
 	answer, revision := g.runOnce(request)
-	g.log.Info("run", "request-id", requestID, "tenant", request.Tenant, "service", request.Service, "key", request.Key,
+	g.log.Info("run", "request-id", requestID, "tenant", request.Tenant, "service", request.Service, "key", request.Key, "resend", request.Call,
 		"outcome", parser.OutcomeName(answer.Outcome), "reason", answer.Reason, "repeated", answer.Repeated, "latency-us", time.Since(arrived).Microseconds())
 	g.writeRun(ctx, request, answer, revision)
 }
 
-// target is where a non-idempotent request may go, or why it may not.
-type target struct {
-	replica  *registrar.Replica
+// route is where a non-idempotent request may go, or why it may not go anywhere.
+type route struct {
+	targets  []runner.Target
 	reason   runner.Reason
 	wait     time.Duration
 	revision uint64
@@ -63,54 +60,31 @@
 func (g *Gateway) runOnce(request runner.Request) (runner.Answer, uint64) {
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
 	defer cancel()
-	chosen := g.chooseTarget(ctx, request)
+	chosen := g.chooseRoute(ctx, request)
 	if chosen.reason != runner.ReasonNone {
-		return runner.Answer{
-			Outcome:    wire.Outcome_OUTCOME_NOT_RUN,
-			Reason:     chosen.reason,
-			RetryAfter: chosen.wait,
-		}, chosen.revision
-	}
-	run := runner.New(request, g.lastRun.Add(1))
-	step := run.Start(time.Now())
-	for step.Answer == nil {
-		step = g.carryOutStep(ctx, run, step, chosen.replica)
+		return runner.Refuse(request, chosen.reason, chosen.wait), chosen.revision
 	}
-	if step.Record != nil {
-		g.record(step.Record)
+	d := &driver{
+		gateway: g,
+		run:     runner.New(request, g.lastRun.Add(1), chosen.targets),
 	}
-	return *step.Answer, chosen.revision
+	return d.drive(ctx, chosen.targets), chosen.revision
 }
 
-func (g *Gateway) carryOutStep(ctx context.Context, run *runner.Run, step runner.Step, replica *registrar.Replica) runner.Step {
-	if step.Claim != nil {
-		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-		defer cancel()
-		verdict, err := g.control.claim(claimCtx, step.Claim)
-		if err != nil {
-			g.log.Info("claim failed", "request-id", step.Claim.GetRequestId(), "key", step.Claim.GetKey(), "error", err.Error())
-			return run.ClaimFailed()
-		}
-		return run.Claimed(time.Now(), verdict)
-	}
-	g.log.Info("dispatched", "service", step.Dispatch.GetService(), "key", step.Dispatch.GetKey(), "attempt", step.Dispatch.GetAttempt(), "upstream", replica.Upstream)
-	return run.Dispatched(sender.Once(ctx, replica.Address, step.Dispatch, run.MayWrite))
-}
-
-func (g *Gateway) chooseTarget(ctx context.Context, request runner.Request) target {
-	chosen := target{
+func (g *Gateway) chooseRoute(ctx context.Context, request runner.Request) route {
+	chosen := route{
 		reason: runner.ReasonShuttingDown,
 		wait:   time.Second,
 	}
 	_ = g.ask(ctx, func(now time.Time) {
-		chosen = g.decideTarget(now, request)
+		chosen = g.decideRoute(now, request)
 	})
 	return chosen
 }
 
-func (g *Gateway) decideTarget(now time.Time, request runner.Request) target {
+func (g *Gateway) decideRoute(now time.Time, request runner.Request) route {
 	config := g.machine.Config()
-	chosen := target{
+	chosen := route{
 		revision: config.GetRevision(),
 	}
 	if cataloger.FindService(config, request.Service) == nil {
@@ -122,21 +96,90 @@
 		chosen.wait = wait
 		return chosen
 	}
-	chosen.replica = g.machine.Router.Pick(g.machine.Registrar.Holders(request.Service), nil)
-	if chosen.replica == nil {
-		chosen.reason = runner.ReasonNoUpstream
+	if !g.watcher.confirmed() {
+		chosen.reason = runner.ReasonNoQuorum
 		chosen.wait = time.Second
+		return chosen
 	}
+	chosen.targets = g.chooseTargets(request.Service)
 	return chosen
 }
 
-// record stores the outcome for resends; where that fails they are told unknown.
-func (g *Gateway) record(request *wire.RecordRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+// chooseTargets returns different upstreams in the order in which they are to be tried.
+func (g *Gateway) chooseTargets(service string) []runner.Target {
+	holders := g.machine.Registrar.Holders(service)
+	var tried []string
+	var targets []runner.Target
+	for range min(len(holders), runner.MaxTargets) {
+		replica := g.machine.Router.Pick(holders, tried)
+		tried = append(tried, replica.Upstream)
+		targets = append(targets, runner.Target{
+			Upstream: replica.Upstream,
+			Address:  replica.Address,
+		})
+	}
+	return targets
+}
+
+// driver carries out the steps of one run.
+type driver struct {
+	gateway *Gateway
+	run     *runner.Run
+	// early is the connection that opens while the claim is decided, or nil.
+	early *sender.Once
+}
+
+func (d *driver) drive(ctx context.Context, targets []runner.Target) runner.Answer {
+	if len(targets) > 0 {
+		d.early = sender.Open(ctx, targets[0].Address)
+	}
+	step := d.run.Start(time.Now())
+	for step.Answer == nil {
+		step = d.carryOut(ctx, step)
+	}
+	if d.early != nil {
+		d.early.Close()
+	}
+	switch {
+	case step.Record != nil && step.RecordLater:
+		d.gateway.concluder.push(step.Record)
+	case step.Record != nil:
+		d.gateway.concluder.conclude(ctx, step.Record)
+	}
+	return *step.Answer
+}
+
+func (d *driver) carryOut(ctx context.Context, step runner.Step) runner.Step {
+	if step.Claim != nil {
+		return d.claim(ctx, step.Claim)
+	}
+	return d.dispatch(ctx, step.Dispatch)
+}
+
+func (d *driver) claim(ctx context.Context, request *wire.ClaimRequest) runner.Step {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	if _, err := g.control.record(ctx, request); err != nil {
-		g.log.Info("record failed", "key", request.GetKey(), "error", err.Error())
+	verdict, err := d.gateway.control.claim(ctx, request)
+	if err != nil {
+		d.gateway.log.Info("claim failed", "request-id", request.GetRequestId(), "service", request.GetService(), "key", request.GetKey(), "error", err.Error())
+		return d.run.ClaimFailed()
+	}
+	d.gateway.log.Info("claimed", "request-id", request.GetRequestId(), "service", request.GetService(), "key", request.GetKey(), "verdict", verdict.GetVerdict().String())
+	return d.run.Claimed(time.Now(), verdict)
+}
+
+func (d *driver) dispatch(ctx context.Context, dispatch *runner.Dispatch) runner.Step {
+	once := d.early
+	d.early = nil
+	if once == nil {
+		once = sender.Open(ctx, dispatch.Target.Address)
 	}
+	defer once.Close()
+	request := dispatch.Request
+	end := once.Send(ctx, request, d.run.MayWrite)
+	d.gateway.log.Info("dispatched", "service", request.GetService(), "key", request.GetKey(), "attempt", request.GetAttempt(), "upstream", dispatch.Target.Upstream,
+		"written", !end.NotWritten, "refused", end.NotStarted, "replied", end.Response != nil)
+	return d.run.Dispatched(time.Now(), end)
 }
 
 func (g *Gateway) writeRun(ctx iris.Context, request runner.Request, answer runner.Answer, revision uint64) {
@@ -151,6 +194,7 @@
 		Reason:          string(answer.Reason),
 		Result:          answer.Result,
 		Repeated:        answer.Repeated,
+		EarlierCalls:    string(answer.Earlier),
 		ConfigRevision:  revision,
 		ConfigConfirmed: g.watcher.confirmed(),
 		RetryAfterMs:    parser.Milliseconds(answer.RetryAfter),
@@ -163,7 +207,7 @@
 		return iris.StatusOK
 	case answer.Reason == runner.ReasonKeyExpired:
 		return iris.StatusGone
-	case answer.Reason == runner.ReasonKeyConflict:
+	case answer.Reason == runner.ReasonKeyConflict, answer.Reason == runner.ReasonSuperseded:
 		return iris.StatusConflict
 	case answer.Reason == runner.ReasonUnknownService:
 		return iris.StatusNotFound
