--- a/internal/coordination/gatherer/machine.go
+++ b/internal/coordination/gatherer/machine.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if reply.GetLeaving() {
-		m.Registrar.MarkLeaving(a.replica.Upstream)
+		m.Registrar.MarkLeaving(a.replica.Upstream, a.replica.Incarnation)
 	}
 	if !a.fits(reply) {
 		m.Fail(now, id, Failure{
@@ -165,7 +165,7 @@
 func (m *Machine) learn(now time.Time, a *attempt, failure Failure) {
 	switch {
 	case failure.Leaving:
-		m.Registrar.MarkLeaving(a.replica.Upstream)
+		m.Registrar.MarkLeaving(a.replica.Upstream, a.replica.Incarnation)
 	case failure.NotHeld:
 		m.markWithdrawn(now, a)
 	default:
--- a/internal/coordination/gatherer/property_test.go
+++ b/internal/coordination/gatherer/property_test.go
@@ -80,7 +80,7 @@
 }
 
 func (s *storm) leave(t *rapid.T) {
-	s.desk.machine.Registrar.MarkLeaving(drawUpstream(t))
+	s.desk.machine.Registrar.MarkLeaving(drawUpstream(t), 1)
 }
 
 func (s *storm) reply(t *rapid.T) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -25,6 +25,8 @@
 	eventRing  = 4096
 	endRing    = 4096
 	tickPeriod = 5 * time.Millisecond
+	// stallLimit is a gap between two turns of the loop after which the process counts as having stood still.
+	stallLimit = time.Second
 )
 
 // Gateway is one running entry instance.
@@ -45,6 +47,7 @@
 	peers     *listener.Server
 	spreader  *spreader
 	watcher   *watcher
+	concluder *concluder
 	stopOnce  sync.Once
 	stop      chan struct{}
 	done      chan struct{}
@@ -80,10 +83,12 @@
 	}
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
+	g.concluder = newConcluder(g)
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
 	go g.run()
 	go g.spreader.run()
 	go g.watcher.run()
+	go g.concluder.run()
 	return g, nil
 }
 
@@ -102,6 +107,7 @@
 	case <-ctx.Done():
 	}
 	err := g.callers.Shutdown(ctx)
+	g.concluder.close()
 	g.stopOnce.Do(func() { close(g.stop) })
 	<-g.watcher.done
 	<-g.spreader.done
@@ -138,7 +144,9 @@
 	defer close(g.done)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
+		last = g.noteStall(last)
 		select {
 		case <-g.stop:
 			return
@@ -153,6 +161,17 @@
 	}
 }
 
+// noteStall ends the leases that ran out while the process stood still before anything that has waited is taken.
+func (g *Gateway) noteStall(last time.Time) time.Time {
+	now := time.Now()
+	if now.Sub(last) > stallLimit {
+		g.log.Info("stood still", "ms", now.Sub(last).Milliseconds())
+		g.machine.Registrar.Stalled(now)
+		g.machine.Tick(now)
+	}
+	return now
+}
+
 func (g *Gateway) takeEnd(now time.Time, end sender.End) {
 	if end.Reply != nil {
 		g.machine.Reply(now, end.Attempt, end.Reply)
