Name the routing policy in the settings, and log each routing decision

Cause: routing decisions were logged at debug only, from the loop that routes; the policy could not be chosen.

Change: routing-policy (round-robin, two-choices, owner; default two-choices until sub-requests are forwarded to owners); one line for each send and restart at the default level, with the request id, written by a thread of its own behind a bounded ring; lines that don't fit are counted in decision_lines_lost and hold nothing up.

Ruled out: writing from the loop, which costs it a whole line.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,6 +82,8 @@
 	replicas int
 	version  uint64
 	workMs   float64
+	// policy is the entry instances' routing-policy.
+	policy string
 	// links puts a proxy between every pair of processes that speak.
 	links bool
 }
@@ -213,6 +216,7 @@
 		ListenPeers:     e.address,
 		Peers:           []string{},
 		ShutdownGraceMs: 200,
+		RoutingPolicy:   cmp.Or(f.plan.policy, "two-choices"),
 		LogLevel:        "debug",
 	}
 	for _, c := range f.controls {
--- a/internal/coordination/gatherer/placement.go
+++ b/internal/coordination/gatherer/placement.go
@@ -134,13 +134,14 @@
 	m.Router.Sent(replica.Upstream)
 	m.noteStart(now, a, kind)
 	m.actions.Sends = append(m.actions.Sends, Send{
-		Query:    g.query.ID,
-		Upstream: replica.Upstream,
-		Address:  replica.Address,
-		Request:  g.request(a),
-		Deadline: g.deadline(),
-		Kind:     kind,
-		Waited:   waited,
+		Query:     g.query.ID,
+		RequestID: g.query.RequestID,
+		Upstream:  replica.Upstream,
+		Address:   replica.Address,
+		Request:   g.request(a),
+		Deadline:  g.deadline(),
+		Kind:      kind,
+		Waited:    waited,
 	})
 }
 
--- a/internal/coordination/gatherer/restart.go
+++ b/internal/coordination/gatherer/restart.go
@@ -117,9 +117,10 @@
 		return false
 	}
 	m.actions.Restarts = append(m.actions.Restarts, Restart{
-		Query: g.query.ID,
-		From:  g.manifest.GetVersion(),
-		To:    choice.Manifest.GetVersion(),
+		Query:     g.query.ID,
+		RequestID: g.query.RequestID,
+		From:      g.manifest.GetVersion(),
+		To:        choice.Manifest.GetVersion(),
 	})
 	m.dropShards(now, g)
 	delete(m.incomplete, g.query.ID)
--- a/internal/coordination/gatherer/types.go
+++ b/internal/coordination/gatherer/types.go
@@ -52,11 +52,12 @@
 
 // Send asks the driver to send one attempt of a sub-request.
 type Send struct {
-	Query    uint64
-	Upstream string
-	Address  string
-	Request  *wire.SearchRequest
-	Deadline time.Time
+	Query     uint64
+	RequestID string
+	Upstream  string
+	Address   string
+	Request   *wire.SearchRequest
+	Deadline  time.Time
 	// Kind is first, retry or hedge.
 	Kind AttemptKind
 	// Waited is how long the sub-request was queued.
@@ -84,9 +85,10 @@
 
 // Restart says that a query was begun anew on a newer version.
 type Restart struct {
-	Query uint64
-	From  uint64
-	To    uint64
+	Query     uint64
+	RequestID string
+	From      uint64
+	To        uint64
 }
 
 // Failure is how an attempt ended without a reply.
--- a/internal/coordination/router/policy.go
+++ b/internal/coordination/router/policy.go
@@ -1,10 +1,6 @@
 package router
 
-import (
-	"slices"
-
-	"pimentogate.example/pimentogate/internal/coordination/registrar"
-)
+import "pimentogate.example/pimentogate/internal/coordination/registrar"
 
 // Policy names a way of routing sub-requests.
 type Policy string
@@ -22,9 +18,6 @@
 // Policies returns the names that a setting may take.
 func Policies() []Policy { return []Policy{RoundRobin, TwoChoices, Owner} }
 
-// IsKnown reports whether there is such a policy.
-func (p Policy) IsKnown() bool { return slices.Contains(Policies(), p) }
-
 // Hedges reports whether stragglers are sent a second time.
 func (p Policy) Hedges() bool { return p != RoundRobin }
 
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -34,6 +34,7 @@
 	Control         []string `json:"control"`
 	Peers           []string `json:"peers"`
 	ShutdownGraceMs int64    `json:"shutdown-grace-ms"`
+	RoutingPolicy   string   `json:"routing-policy"`
 	LogLevel        string   `json:"log-level"`
 }
 
@@ -67,11 +68,15 @@
 const (
 	defaultElectionTimeoutMs = 300
 	defaultShutdownGraceMs   = 1000
+	defaultRoutingPolicy     = "two-choices"
 	defaultLogLevel          = "info"
 
 	allowedAddress = "an address as host:port"
 )
 
+// routingPolicies are the names that an entry instance's routing-policy may take.
+var routingPolicies = []string{"round-robin", "two-choices", "owner"}
+
 // ReadControl reads and checks the settings of a control instance; mistakes come as a MistakesError.
 func ReadControl(path string) (*Control, error) {
 	settings := &Control{
@@ -85,6 +90,7 @@
 func ReadEntry(path string) (*Entry, error) {
 	settings := &Entry{
 		ShutdownGraceMs: defaultShutdownGraceMs,
+		RoutingPolicy:   defaultRoutingPolicy,
 		LogLevel:        defaultLogLevel,
 	}
 	return read(path, settings, checkEntry)
@@ -136,6 +142,7 @@
 	w.needAddresses("control", s.Control)
 	w.need("control", len(s.Control) > 0, "at least one address of a control instance")
 	w.needAddresses("peers", s.Peers)
+	w.need("routing-policy", slices.Contains(routingPolicies, s.RoutingPolicy), `"round-robin", "two-choices" or "owner"`)
 	w.need("shutdown-grace-ms", s.ShutdownGraceMs >= 0, "0 or more")
 	w.needLogLevel(s.LogLevel)
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -48,6 +48,7 @@
 	spreader  *spreader
 	watcher   *watcher
 	concluder *concluder
+	decisions *decisionLog
 	stopOnce  sync.Once
 	stop      chan struct{}
 	done      chan struct{}
@@ -67,7 +68,7 @@
 	g := &Gateway{
 		settings: settings,
 		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		machine:  gatherer.New(registrar.New(), router.New(router.TwoChoices, random), firstAttempt),
+		machine:  gatherer.New(registrar.New(), router.New(policyOf(settings), random), firstAttempt),
 		sender:   sender.New(ends),
 		control:  NewControlClient(settings.Control),
 		meter:    newMeter(),
@@ -84,7 +85,9 @@
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.concluder = newConcluder(g)
+	g.decisions = newDecisionLog(g.log, g.meter.scope.Counter("decision_lines_lost"))
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
+	go g.decisions.run()
 	go g.run()
 	go g.spreader.run()
 	go g.watcher.run()
@@ -92,6 +95,14 @@
 	return g, nil
 }
 
+// policyOf returns the routing policy that the settings name.
+func policyOf(settings *checker.Entry) router.Policy {
+	if settings.RoutingPolicy == "" {
+		return router.TwoChoices
+	}
+	return router.Policy(settings.RoutingPolicy)
+}
+
 // CallersAddress returns where callers are served.
 func (g *Gateway) CallersAddress() string { return g.callers.Address() }
 
@@ -113,6 +124,7 @@
 	<-g.spreader.done
 	g.peers.Close()
 	<-g.done
+	g.decisions.close()
 	g.log.Info("shutdown: done")
 	return err
 }
@@ -189,9 +201,15 @@
 	for _, attempt := range actions.Cancels {
 		g.sender.Cancel(attempt)
 	}
-	for _, send := range actions.Sends {
-		g.log.V(1).Info("routed", "query", send.Query, "attempt", send.Request.GetAttempt(), "kind", send.Kind,
-			"service", send.Request.GetService(), "shard", send.Request.GetShard(), "version", send.Request.GetVersion(), "upstream", send.Upstream)
+	for i := range actions.Restarts {
+		g.decisions.note(decision{
+			restart: &actions.Restarts[i],
+		})
+	}
+	for i, send := range actions.Sends {
+		g.decisions.note(decision{
+			send: &actions.Sends[i],
+		})
 		g.meter.attempt(send.Kind)
 		g.sender.Search(send.Address, send.Request, send.Deadline)
 	}
