--- a/internal/coordination/gatherer/restart.go
+++ b/internal/coordination/gatherer/restart.go
@@ -9,7 +9,7 @@
 )
 
 // withdrawnAge is how long an upstream's word that it no longer holds a version stands against its announcement.
-const withdrawnAge = 2 * time.Second
+const withdrawnAge = 500 * time.Millisecond
 
 // withdrawnKey is one holding that its upstream has denied.
 type withdrawnKey struct {
