Learn the entry instances from each other, and share connection limits by agreement

Cause: settings named every peer, news went to all of them over rings without bound in bytes, and an instance that joined late waited for heartbeats. Nothing bounded connections: searches on a cold upstream could dial at once in numbers, and each run dialled one. Shutdown closed the peers' server under calls in flight, dropped searches still running in the sender, could be made ready again by a new configuration, and told nobody. A restarted instance took any configuration a peer had.

Ruled out: shares that grow when a member falls silent (both sides of a cut would grow, and a frozen instance still holds what it had); counting members instead of comparing sets (two joiners that do not know each other pass the limit); giving the limit out by control (a cut zone could not serve after a restart).

Change: tracker is the membership as a pure machine (heartbeats with incarnation, sequence and epoch; alive, suspect, gone, left; bounded gossip; targets in turns). The spreader reaches at most 8 members a round with at most 256 pieces of news and 64 members, and one of them repairs by digests. limiter.Share divides limits by the members: it shrinks at once, grows when all report the same set and have closed what they held beyond, falls to a reserve of one without a majority for 15 s, and the others count an instance as gone after 30 s. sender.Connections enforces it at the dial. A peer tells a restarted instance what it remembers of it, so that it serves no older revision. Shutdown: not ready, connections told to close, grace, callers, peers told, parts, peers' calls, searches, loop.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -198,6 +198,7 @@
 		ListenCallers:   e.callers,
 		ListenPeers:     e.address,
 		Peers:           []string{},
+		ListedPeersOnly: f.plan.links,
 		ShutdownGraceMs: 200,
 		LogLevel:        "debug",
 	}
--- a/internal/coordination/registrar/index.go
+++ b/internal/coordination/registrar/index.go
@@ -18,6 +18,7 @@
 	holders  map[holdingKey][]*Replica
 	services map[string][]*Replica
 	keys     map[string][]holdingKey
+	limits   map[string]uint32
 }
 
 func newIndex() *index {
@@ -25,6 +26,7 @@
 		holders:  map[holdingKey][]*Replica{},
 		services: map[string][]*Replica{},
 		keys:     map[string][]holdingKey{},
+		limits:   map[string]uint32{},
 	}
 }
 
@@ -39,6 +41,7 @@
 		Connections: ann.GetConnections(),
 	}
 	limitTo(replica, config)
+	x.limits[replica.Address] = replica.Connections
 	for _, holding := range ann.GetHoldings() {
 		if !declares(config, holding) {
 			continue
@@ -79,6 +82,7 @@
 		drop(x.services, key.service, name)
 	}
 	delete(x.keys, name)
+	delete(x.limits, ann.GetAddress())
 }
 
 // insert returns the list with the replica in its place by name, once.
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -197,6 +197,9 @@
 	}]
 }
 
+// ConnectionLimit returns how many connections the upstream at the address takes from all instances together, or 0.
+func (r *Registrar) ConnectionLimit(address string) uint32 { return r.index.limits[address] }
+
 // Holders returns every upstream that takes work for the service in any version, by name; the slice is not to be changed.
 func (r *Registrar) Holders(service string) []*Replica {
 	return r.index.services[service]
--- /dev/null
+++ b/internal/coordination/tracker/doc.go
@@ -0,0 +1,2 @@
+// Package tracker keeps the membership of the entry instances, as a deterministic machine.
+package tracker
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -25,14 +25,16 @@
 
 // Entry is the settings of an entry instance.
 type Entry struct {
-	Instance        string   `json:"instance"`
-	Zone            string   `json:"zone"`
-	ListenCallers   string   `json:"listen-callers"`
-	ListenPeers     string   `json:"listen-peers"`
-	Control         []string `json:"control"`
-	Peers           []string `json:"peers"`
-	ShutdownGraceMs int64    `json:"shutdown-grace-ms"`
-	LogLevel        string   `json:"log-level"`
+	Instance      string   `json:"instance"`
+	Zone          string   `json:"zone"`
+	ListenCallers string   `json:"listen-callers"`
+	ListenPeers   string   `json:"listen-peers"`
+	Control       []string `json:"control"`
+	Peers         []string `json:"peers"`
+	// ListedPeersOnly says that members which other peers name are not called.
+	ListedPeersOnly bool   `json:"listed-peers-only"`
+	ShutdownGraceMs int64  `json:"shutdown-grace-ms"`
+	LogLevel        string `json:"log-level"`
 }
 
 // Shard is one shard of a stand-in's index.
--- a/internal/transport/gateway/app.go
+++ b/internal/transport/gateway/app.go
@@ -32,10 +32,11 @@
 }
 
 func (g *Gateway) serveReady(ctx iris.Context) {
-	if !g.ready.Load() {
+	isReady := g.isReady()
+	if !isReady {
 		ctx.StatusCode(iris.StatusServiceUnavailable)
 	}
-	_, _ = ctx.WriteString("ready: " + strconv.FormatBool(g.ready.Load()) + "\n")
+	_, _ = ctx.WriteString("ready: " + strconv.FormatBool(isReady) + "\n")
 }
 
 func (g *Gateway) serveLive(ctx iris.Context) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -12,8 +12,10 @@
 	"github.com/go-logr/logr"
 
 	"pimentogate.example/pimentogate/internal/coordination/gatherer"
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
 	"pimentogate.example/pimentogate/internal/coordination/router"
+	"pimentogate.example/pimentogate/internal/coordination/tracker"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/internal/transport/sender"
@@ -35,6 +37,8 @@
 	log       logr.Logger
 	machine   *gatherer.Machine
 	sender    *sender.Sender
+	tracker   *tracker.Tracker
+	share     *limiter.Share
 	control   *ControlClient
 	meter     *meter
 	events    chan event
@@ -42,14 +46,20 @@
 	waiting   map[uint64]chan gatherer.Answer
 	lastQuery atomic.Uint64
 	lastRun   atomic.Uint64
-	ready     atomic.Bool
+	// revision is the configuration in force, floor the newest one that was in force here in an earlier life.
+	revision  atomic.Uint64
+	floor     atomic.Uint64
+	leaving   atomic.Bool
+	startedAt time.Time
 	callers   *listener.Server
 	peers     *listener.Server
 	spreader  *spreader
 	watcher   *watcher
 	stopOnce  sync.Once
-	stop      chan struct{}
-	done      chan struct{}
+	// closing ends the parts that speak to other instances, stop the loop after them.
+	closing chan struct{}
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 // event is a question to the loop, which alone touches the machine.
@@ -57,29 +67,33 @@
 
 var errStopping = errors.New("this entry instance is stopping")
 
-// New starts an entry instance; it is ready once it has a configuration.
+// New starts an entry instance; it is ready once it has a configuration that is not older than one it had before.
 func New(settings *checker.Entry, log logr.Logger) (*Gateway, error) {
 	ends := make(chan sender.End, endRing)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	// Attempt ids start at a random place, so that a restarted instance never meets its own old ones.
 	firstAttempt := rand.Uint64() >> 1
 	g := &Gateway{
-		settings: settings,
-		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		machine:  gatherer.New(registrar.New(), router.New(random), firstAttempt),
-		sender:   sender.New(ends),
-		control:  NewControlClient(settings.Control),
-		meter:    newMeter(),
-		events:   make(chan event, eventRing),
-		ends:     ends,
-		waiting:  map[uint64]chan gatherer.Answer{},
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		settings:  settings,
+		log:       log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
+		machine:   gatherer.New(registrar.New(), router.New(random), firstAttempt),
+		share:     limiter.NewShare(time.Now(), len(settings.Peers)),
+		control:   NewControlClient(settings.Control),
+		meter:     newMeter(),
+		events:    make(chan event, eventRing),
+		ends:      ends,
+		waiting:   map[uint64]chan gatherer.Answer{},
+		startedAt: time.Now(),
+		closing:   make(chan struct{}),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
 	}
 	g.lastRun.Store(rand.Uint64() >> 1)
+	g.sender = sender.New(ends, g.mayOpen)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	g.tracker = newTracker(settings, g.peers.Address())
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
@@ -95,30 +109,12 @@
 // PeersAddress returns where upstreams and other entry instances are served.
 func (g *Gateway) PeersAddress() string { return g.peers.Address() }
 
-// Shutdown stops being ready, waits for the balancer to notice, answers every request in flight, and leaves.
-func (g *Gateway) Shutdown(ctx context.Context) error {
-	g.ready.Store(false)
-	g.log.Info("shutdown: not ready")
-	select {
-	case <-time.After(time.Duration(g.settings.ShutdownGraceMs) * time.Millisecond):
-	case <-ctx.Done():
-	}
-	err := g.callers.Shutdown(ctx)
-	g.stopOnce.Do(func() { close(g.stop) })
-	<-g.watcher.done
-	<-g.spreader.done
-	g.peers.Close()
-	<-g.done
-	g.log.Info("shutdown: done")
-	return err
-}
-
 func (g *Gateway) listen() error {
 	app, err := newApp(g)
 	if err != nil {
 		return err
 	}
-	g.callers, err = listener.New(g.settings.ListenCallers, app)
+	g.callers, err = listener.New(g.settings.ListenCallers, g.guard(app))
 	if err != nil {
 		return err
 	}
@@ -266,7 +262,7 @@
 		if !g.machine.Configure(now, config) {
 			return
 		}
-		g.ready.Store(true)
+		g.revision.Store(config.GetRevision())
 		g.log.Info("configuration in force", "revision", config.GetRevision())
 	})
 }
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -65,6 +65,10 @@
 	response := &wire.ExchangeResponse{}
 	err := g.ask(ctx, func(now time.Time) {
 		g.learn(now, request.Msg.GetAnnouncements(), request.Msg.GetRenewals())
+		g.hear(now, request.Msg.GetSender(), request.Msg.GetMembers())
+		response.Sender = g.tracker.Self()
+		response.Remembered = g.tracker.Remembered(request.Msg.GetSender().GetInstance(), request.Msg.GetSender().GetIncarnation())
+		response.Members = g.tracker.Gossip(gossipLimit)
 		response.Announcements = g.machine.Registrar.Repair(now, request.Msg.GetDigests(), rand.IntN(repairBuckets), repairLimit)
 		if g.machine.Config().GetRevision() > request.Msg.GetRevision() {
 			response.Config = g.machine.Config()
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -11,7 +11,6 @@
 	"pimentogate.example/pimentogate/internal/coordination/runner"
 	"pimentogate.example/pimentogate/internal/protocol/parser"
 	"pimentogate.example/pimentogate/internal/state/cataloger"
-	"pimentogate.example/pimentogate/internal/transport/sender"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -94,7 +93,7 @@
 		return run.Claimed(time.Now(), verdict)
 	}
 	g.log.Info("dispatched", "service", step.Dispatch.GetService(), "key", step.Dispatch.GetKey(), "attempt", step.Dispatch.GetAttempt(), "upstream", replica.Upstream)
-	return run.Dispatched(sender.Once(ctx, replica.Address, step.Dispatch, run.MayWrite))
+	return run.Dispatched(g.sender.Once(ctx, replica.Address, step.Dispatch, run.MayWrite))
 }
 
 func (g *Gateway) chooseTarget(ctx context.Context, request runner.Request) target {
--- a/internal/transport/gateway/spreader.go
+++ b/internal/transport/gateway/spreader.go
@@ -2,32 +2,55 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
+	"pimentogate.example/pimentogate/internal/coordination/tracker"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
 const (
-	spreadPeriod    = 100 * time.Millisecond
-	spreadLimit     = 256
-	repairLimit     = 256
-	repairBuckets   = 256
-	repairRounds    = 10
+	spreadPeriod = 100 * time.Millisecond
+	// beatRounds, seedRounds and repairRounds are how many rounds lie between two heartbeats, calls to the peers of the settings that are not members, and repairs.
+	beatRounds   = 3
+	seedRounds   = 10
+	repairRounds = 10
+
+	spreadLimit   = 256
+	repairLimit   = 256
+	repairBuckets = 256
+	gossipLimit   = 64
+	// fanOut is how many peers one round reaches.
+	fanOut          = 8
+	exchangeRing    = 64
+	exchangeWorkers = 16
 	exchangeTimeout = 500 * time.Millisecond
-	peerRing        = 64
 )
 
-// spreader hands news about upstreams to the other entry instances, a batch a round.
+// spreader tells the other entry instances what is new about upstreams and members, a bounded batch a round.
 type spreader struct {
 	gateway *Gateway
-	peers   []*peer
-	done    chan struct{}
+	client  *http.Client
+	calls   chan exchange
+	workers []*exchanger
+	mutex   sync.Mutex
+	busy    map[string]bool
+	// seeds are the peers of the settings, with the instance that last answered there.
+	seeds map[string]string
+	done  chan struct{}
+}
+
+// exchange is one call to a peer.
+type exchange struct {
+	address string
+	batch   batch
+	repair  bool
 }
 
 // batch is one round's news, built once for every peer.
@@ -35,112 +58,180 @@
 	announcements []*wire.Announcement
 	renewals      []*wire.Renewal
 	builtAt       time.Time
-	repair        bool
 }
 
-// peer is one other entry instance, with a sender of its own so that a slow one holds up no other.
-type peer struct {
-	gateway *Gateway
-	client  wireconnect.PeerServiceClient
-	ring    chan batch
-	done    chan struct{}
-}
+func (b *batch) isEmpty() bool { return len(b.announcements) == 0 && len(b.renewals) == 0 }
 
 func newSpreader(g *Gateway, addresses []string) *spreader {
 	s := &spreader{
 		gateway: g,
+		client:  listener.NewClient(),
+		calls:   make(chan exchange, exchangeRing),
+		busy:    map[string]bool{},
+		seeds:   map[string]string{},
 		done:    make(chan struct{}),
 	}
-	client := listener.NewClient()
 	for _, address := range addresses {
-		s.peers = append(s.peers, newPeer(g, client, address))
+		s.seeds[address] = ""
 	}
-	return s
-}
-
-func newPeer(g *Gateway, client *http.Client, address string) *peer {
-	return &peer{
-		gateway: g,
-		client:  wireconnect.NewPeerServiceClient(client, "http://"+address),
-		ring:    make(chan batch, peerRing),
-		done:    make(chan struct{}),
+	for range exchangeWorkers {
+		s.workers = append(s.workers, &exchanger{
+			spreader: s,
+			done:     make(chan struct{}),
+		})
 	}
+	return s
 }
 
 func (s *spreader) run() {
 	defer close(s.done)
-	for _, p := range s.peers {
-		go p.run()
+	for _, w := range s.workers {
+		go w.run()
 	}
 	ticker := time.NewTicker(spreadPeriod)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
 		select {
-		case <-s.gateway.stop:
-			s.waitPeers()
+		case <-s.gateway.closing:
+			s.close()
 			return
 		case <-ticker.C:
-			s.spread(s.collect(), round)
+			s.spread(round)
 		}
 	}
 }
 
-func (s *spreader) waitPeers() {
-	for _, p := range s.peers {
-		<-p.done
+// close lets every call that is queued end.
+func (s *spreader) close() {
+	close(s.calls)
+	for _, w := range s.workers {
+		<-w.done
 	}
+	s.client.CloseIdleConnections()
 }
 
-// collect takes a round's news from the table.
-func (s *spreader) collect() batch {
-	var b batch
+func (s *spreader) spread(round int) {
+	isBeat := round%beatRounds == 0
+	if round%seedRounds == 0 {
+		s.callSeeds()
+	}
+	var news batch
+	var targets []tracker.Member
 	_ = s.gateway.ask(context.Background(), func(now time.Time) {
-		b.announcements, b.renewals = s.gateway.machine.Registrar.Batch(now, spreadLimit)
-		b.builtAt = now
+		news.builtAt = now
+		news.announcements, news.renewals = s.gateway.machine.Registrar.Batch(now, spreadLimit)
+		if isBeat {
+			s.gateway.beat(now)
+		}
+		if isBeat || !news.isEmpty() {
+			targets = s.gateway.tracker.Targets(fanOut)
+		}
 	})
-	return b
+	repaired := rand.IntN(max(1, len(targets)))
+	for i, target := range targets {
+		s.push(exchange{
+			address: target.Address,
+			batch:   news,
+			repair:  round%repairRounds == 0 && i == repaired,
+		})
+	}
 }
 
-// spread queues the news for every peer; one of them is asked to repair what was missed.
-func (s *spreader) spread(b batch, round int) {
-	for i, p := range s.peers {
-		b.repair = round%repairRounds == 0 && i == (round/repairRounds)%len(s.peers)
-		select {
-		case p.ring <- b:
-		default:
+// callSeeds tries the peers of the settings that are not known as members, or have fallen silent.
+func (s *spreader) callSeeds() {
+	live := map[string]bool{}
+	_ = s.gateway.ask(context.Background(), func(time.Time) {
+		for _, m := range s.gateway.tracker.Members("") {
+			live[m.Instance] = m.State == tracker.StateAlive
 		}
+	})
+	for _, address := range s.silentSeeds(live) {
+		s.push(exchange{
+			address: address,
+			repair:  true,
+		})
 	}
 }
 
-func (p *peer) run() {
-	defer close(p.done)
-	for {
-		select {
-		case <-p.gateway.stop:
-			return
-		case batch := <-p.ring:
-			p.exchange(batch)
+func (s *spreader) silentSeeds(live map[string]bool) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var list []string
+	for address, instance := range s.seeds {
+		if !live[instance] {
+			list = append(list, address)
 		}
 	}
+	return list
+}
+
+// push queues a call, unless one to the same peer is on its way; what it misses is repaired later.
+func (s *spreader) push(e exchange) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.busy[e.address] {
+		return
+	}
+	select {
+	case s.calls <- e:
+		s.busy[e.address] = true
+	default:
+	}
+}
+
+// pushLast queues a call even where one to the same peer is on its way, which may have begun too early.
+func (s *spreader) pushLast(address string) {
+	select {
+	case s.calls <- exchange{address: address}:
+	default:
+	}
 }
 
-func (p *peer) exchange(b batch) {
+// settle notes that a call has ended, and which instance answered.
+func (s *spreader) settle(address, instance string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.busy, address)
+	if _, ok := s.seeds[address]; ok && instance != "" {
+		s.seeds[address] = instance
+	}
+}
+
+// exchanger makes one call at a time, so that a slow peer holds up no other.
+type exchanger struct {
+	spreader *spreader
+	done     chan struct{}
+}
+
+func (w *exchanger) run() {
+	defer close(w.done)
+	for e := range w.spreader.calls {
+		instance := w.exchange(e)
+		w.spreader.settle(e.address, instance)
+	}
+}
+
+// exchange tells a peer the news, takes what it answers, and returns its name, or nothing where it did not answer.
+func (w *exchanger) exchange(e exchange) string {
+	g := w.spreader.gateway
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	request := b.request(sentAt)
-	_ = p.gateway.ask(ctx, func(time.Time) {
-		request.Revision = p.gateway.machine.Config().GetRevision()
-		if b.repair {
-			request.Digests = p.gateway.machine.Registrar.Digests()
+	request := e.batch.request(sentAt)
+	_ = g.ask(ctx, func(time.Time) {
+		request.Sender = g.tracker.Self()
+		request.Members = g.tracker.Gossip(gossipLimit)
+		request.Revision = g.machine.Config().GetRevision()
+		if e.repair {
+			request.Digests = g.machine.Registrar.Digests()
 		}
 	})
-	response, err := p.client.Exchange(ctx, connect.NewRequest(request))
+	client := wireconnect.NewPeerServiceClient(w.spreader.client, "http://"+e.address)
+	response, err := client.Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
-		return
+		return ""
 	}
-	p.gateway.takeRepair(sentAt, response.Msg.GetAnnouncements())
-	p.gateway.configure(response.Msg.GetConfig())
+	return g.takeAnswer(sentAt, e.address, response.Msg)
 }
 
 // request ages the batch by the time it has waited here.
@@ -161,22 +252,3 @@
 	}
 	return request
 }
-
-// takeRepair takes a peer's answer, which was made after sentAt and may have taken all the time since.
-func (g *Gateway) takeRepair(sentAt time.Time, announcements []*wire.Announcement) {
-	if len(announcements) == 0 {
-		return
-	}
-	_ = g.ask(context.Background(), func(now time.Time) {
-		waited := uint32(now.Sub(sentAt) / time.Millisecond)
-		for _, ann := range announcements {
-			g.machine.Registrar.Relay(now, older(ann, waited))
-		}
-	})
-}
-
-func older(ann *wire.Announcement, waitedMs uint32) *wire.Announcement {
-	copied := proto.CloneOf(ann)
-	copied.AgeMs += waitedMs
-	return copied
-}
--- a/internal/transport/gateway/watcher.go
+++ b/internal/transport/gateway/watcher.go
@@ -34,6 +34,9 @@
 	return time.Since(time.UnixMilli(w.heardAt.Load())) < contactLimit
 }
 
+// wasHeard reports whether control was ever heard.
+func (w *watcher) wasHeard() bool { return w.heardAt.Load() != 0 }
+
 func (w *watcher) run() {
 	defer close(w.done)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -49,7 +52,7 @@
 
 // loop ends the stream when the instance stops.
 func (w *watcher) loop(cancel context.CancelFunc) {
-	<-w.gateway.stop
+	<-w.gateway.closing
 	cancel()
 }
 
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -66,6 +66,17 @@
 	_ = s.http.Serve(socket)
 }
 
+// NewSingleClient returns a client that never has more than one connection to an address, opened by dial.
+func NewSingleClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	client := NewClient()
+	transport, ok := client.Transport.(*http.Transport)
+	if ok {
+		transport.DialContext = dial
+		transport.MaxConnsPerHost = 1
+	}
+	return client
+}
+
 // NewClient returns a client for the project's own processes: one multiplexed connection an address.
 func NewClient() *http.Client {
 	return &http.Client{
--- a/internal/transport/sender/once.go
+++ b/internal/transport/sender/once.go
@@ -15,14 +15,13 @@
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
-const onceDialTimeout = time.Second
-
 var errMayNotWrite = errors.New("the request may no longer be written")
 
 // Once sends the request over a connection of its own, which net/http never resends on, and says whether a byte was written; mayWrite is asked right before the first byte.
-func Once(ctx context.Context, address string, request *wire.RunRequest, mayWrite func(now time.Time) bool) runner.DispatchEnd {
+func (s *Sender) Once(ctx context.Context, address string, request *wire.RunRequest, mayWrite func(now time.Time) bool) runner.DispatchEnd {
 	dialer := &onceDialer{
-		mayWrite: mayWrite,
+		connections: s.Connections,
+		mayWrite:    mayWrite,
 	}
 	transport := &http.Transport{
 		DialContext:       dialer.dial,
@@ -45,9 +44,10 @@
 
 // onceDialer opens at most one connection.
 type onceDialer struct {
-	mayWrite func(now time.Time) bool
-	state    atomic.Int32
-	dialed   atomic.Bool
+	connections *Connections
+	mayWrite    func(now time.Time) bool
+	state       atomic.Int32
+	dialed      atomic.Bool
 }
 
 const (
@@ -60,10 +60,7 @@
 	if d.dialed.Swap(true) {
 		return nil, errMayNotWrite
 	}
-	dialer := &net.Dialer{
-		Timeout: onceDialTimeout,
-	}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := d.connections.dialRun(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/sender/search.go
+++ b/internal/transport/sender/search.go
@@ -25,6 +25,9 @@
 
 // Sender keeps one multiplexed connection to each upstream; a cancelled search resets its stream and keeps the connection.
 type Sender struct {
+	// Connections counts what is open to each upstream.
+	Connections *Connections
+
 	client  *http.Client
 	mutex   sync.Mutex
 	clients map[string]wireconnect.UpstreamServiceClient
@@ -33,13 +36,15 @@
 	calls   sync.WaitGroup
 }
 
-// New returns a sender that reports the end of each search to ends.
-func New(ends chan<- End) *Sender {
+// New returns a sender that reports the end of each search to ends, and opens connections as allowed says.
+func New(ends chan<- End, allowed func(ctx context.Context, address string) int) *Sender {
+	connections := NewConnections(allowed)
 	return &Sender{
-		client:  listener.NewClient(),
-		clients: map[string]wireconnect.UpstreamServiceClient{},
-		cancels: map[uint64]context.CancelFunc{},
-		ends:    ends,
+		Connections: connections,
+		client:      listener.NewSingleClient(connections.dialSearch),
+		clients:     map[string]wireconnect.UpstreamServiceClient{},
+		cancels:     map[uint64]context.CancelFunc{},
+		ends:        ends,
 	}
 }
 
@@ -65,8 +70,16 @@
 	}
 }
 
-// Wait returns when every search has ended.
-func (s *Sender) Wait() { s.calls.Wait() }
+// Close cancels every search, waits for their ends, which the caller still has to take, and closes the connections.
+func (s *Sender) Close() {
+	s.mutex.Lock()
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+	s.mutex.Unlock()
+	s.calls.Wait()
+	s.client.CloseIdleConnections()
+}
 
 func (s *Sender) open(address string, attempt uint64, cancel context.CancelFunc) wireconnect.UpstreamServiceClient {
 	s.mutex.Lock()
