--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -55,6 +55,7 @@
 	peers     *listener.Server
 	spreader  *spreader
 	watcher   *watcher
+	concluder *concluder
 	stopOnce  sync.Once
 	// closing ends the parts that speak to other instances, stop the loop after them.
 	closing chan struct{}
@@ -96,10 +97,12 @@
 	g.tracker = newTracker(settings, g.peers.Address())
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
+	g.concluder = newConcluder(g)
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
 	go g.run()
 	go g.spreader.run()
 	go g.watcher.run()
+	go g.concluder.run()
 	return g, nil
 }
 
