--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -215,6 +215,7 @@
 		ListenCallers:   e.callers,
 		ListenPeers:     e.address,
 		Peers:           []string{},
+		ListedPeersOnly: f.plan.links,
 		ShutdownGraceMs: 200,
 		RoutingPolicy:   cmp.Or(f.plan.policy, "two-choices"),
 		LogLevel:        "debug",
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -132,7 +132,7 @@
 
 func (d *driver) drive(ctx context.Context, targets []runner.Target) runner.Answer {
 	if len(targets) > 0 {
-		d.early = sender.Open(ctx, targets[0].Address)
+		d.early = d.gateway.sender.Open(ctx, targets[0].Address)
 	}
 	step := d.run.Start(time.Now())
 	for step.Answer == nil {
@@ -173,7 +173,7 @@
 	once := d.early
 	d.early = nil
 	if once == nil {
-		once = sender.Open(ctx, dispatch.Target.Address)
+		once = d.gateway.sender.Open(ctx, dispatch.Target.Address)
 	}
 	defer once.Close()
 	request := dispatch.Request
