Forward sub-requests to the owner of their replicas

Cause: the owner policy needs one queue for each replica, and a fleet has several entry instances in front of it.

Change: rendezvous hash (xxhash) over the living entry instances of the replica's availability zone, by the replica's first shard, so that replicas of one shard in one zone share a queue and the first free slot takes the next; PeerService.Forward with the upstreams it may choose from; the owner queues, hedges and retries among its own and says how long the next would wait, which the origin's admission uses. An owner that refuses, breaks off or gives no word for 150 ms (or three hedging delays) while it has work is passed by for a while: its sub-requests go directly, one at a time for each replica, without taking retry tokens.

TestOwnerInTrouble (frozen, thawed, membership in dispute): no partial answer.

--- a/integration/versions_test.go
+++ b/integration/versions_test.go
@@ -36,14 +36,14 @@
 	reasons sync.Map
 }
 
-func newAskers(f *fleet, timeoutMs int, manifests map[uint64][]checker.Shard) *askers {
+func newAskers(f *fleet, entries []*process, timeoutMs int, manifests map[uint64][]checker.Shard) *askers {
 	a := &askers{
 		fleet:     f,
 		manifests: manifests,
 		timeoutMs: timeoutMs,
 		stop:      make(chan struct{}),
 	}
-	for _, e := range f.entries {
+	for _, e := range entries {
 		for i := range askersPerEntry {
 			a.group.Add(1)
 			go a.run(e, i)
@@ -154,7 +154,14 @@
 
 // TestVersionsUnderLoad changes the version, withdraws it, repartitions from 8 to 12 shards and back while queries run.
 func TestVersionsUnderLoad(t *testing.T) {
+	for _, policy := range []string{"two-choices", "owner"} {
+		t.Run(policy, func(t *testing.T) { changeVersions(t, policy) })
+	}
+}
+
+func changeVersions(t *testing.T, policy string) {
 	f := newFleet(t, plan{
+		policy:   policy,
 		controls: 1,
 		entries:  4,
 		zones:    2,
@@ -178,7 +185,7 @@
 		3: f.manifest,
 		4: wide,
 	}
-	a := newAskers(f, 500, manifests)
+	a := newAskers(f, f.entries, 500, manifests)
 	t.Run("rolling, both held for a while", func(t *testing.T) {
 		f.roll(func(i int) []checker.HeldVersion {
 			return []checker.HeldVersion{held(1, f.manifest, i), held(2, wide, i)}
@@ -249,7 +256,7 @@
 		})
 	}
 	for _, timeoutMs := range []int{20, 500} {
-		a := newAskers(f, timeoutMs, map[uint64][]checker.Shard{
+		a := newAskers(f, f.entries, timeoutMs, map[uint64][]checker.Shard{
 			1: f.manifest,
 		})
 		time.Sleep(2 * time.Second)
--- a/internal/coordination/gatherer/gather.go
+++ b/internal/coordination/gatherer/gather.go
@@ -7,6 +7,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/queuer"
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
+	"pimentogate.example/pimentogate/internal/coordination/router"
 	"pimentogate.example/pimentogate/internal/coordination/versioner"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
@@ -18,6 +19,8 @@
 	shards   []*shardState
 	restarts int
 	over     bool
+	// forwarded is the peer's sub-request that this is, or nil for a caller's query.
+	forwarded *Forwarded
 }
 
 type shardState struct {
@@ -45,6 +48,9 @@
 	version uint64
 	replica *registrar.Replica
 	sentAt  time.Time
+	// via is the owner it was handed to with these upstreams, or nil.
+	via       *router.Instance
+	upstreams []string
 }
 
 func newGather(query Query, manifest *wire.Manifest) *gather {
--- a/internal/coordination/gatherer/load_test.go
+++ b/internal/coordination/gatherer/load_test.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,11 +19,13 @@
 	loadReplicas = 2
 	loadWork     = 10 * time.Millisecond
 	loadSpread   = 0.5
-	loadHop      = 500 * time.Microsecond
-	loadTimeout  = 2 * time.Second
-	slowFactor   = 10
-	slowTime     = 300 * time.Millisecond
-	loadTime     = 10 * time.Second
+	// loadHop is one way between availability zones, nearHop within one, where an owner sends.
+	loadHop     = 500 * time.Microsecond
+	nearHop     = 100 * time.Microsecond
+	loadTimeout = 2 * time.Second
+	slowFactor  = 10
+	slowTime    = 300 * time.Millisecond
+	loadTime    = 10 * time.Second
 )
 
 // load is a schedule of queries against fake replicas that have slots, a queue and a clock of their own.
@@ -34,6 +37,8 @@
 	slow    bool
 	seed    uint64
 	timeout time.Duration
+	// trouble befalls the entry instances, or is nil.
+	trouble func(m *model)
 }
 
 // outcome is what a load came to.
@@ -72,6 +77,8 @@
 	replica   *fakeReplica
 	started   bool
 	cancelled bool
+	owner     *Machine
+	accepted  uint64
 }
 
 type occurrence struct {
@@ -93,6 +100,17 @@
 	machines []*Machine
 	replicas map[string]*fakeReplica
 	calls    map[*Machine]map[uint64]*fakeCall
+	// byName finds a machine by the name of its instance; a frozen or lost one is not there.
+	byName map[string]*Machine
+	// origins are the machines and attempts that forwarded sub-requests came from.
+	origins  map[*Machine]map[uint64]origin
+	accepted uint64
+	frozen   map[*Machine]bool
+}
+
+type origin struct {
+	machine *Machine
+	attempt uint64
 }
 
 func play(t *testing.T, l load) *outcome {
@@ -106,12 +124,19 @@
 		events:   queuer.NewHeap(isEarlier),
 		replicas: map[string]*fakeReplica{},
 		calls:    map[*Machine]map[uint64]*fakeCall{},
+		byName:   map[string]*Machine{},
+		origins:  map[*Machine]map[uint64]origin{},
+		accepted: 1 << 32,
+		frozen:   map[*Machine]bool{},
 	}
 	for i := range l.entries {
 		m.addMachine(i)
 	}
 	m.scheduleTicks()
 	m.scheduleQueries()
+	if l.trouble != nil {
+		l.trouble(m)
+	}
 	for m.events.Len() > 0 {
 		next := m.events.Pop()
 		m.now = next.at
@@ -165,13 +190,35 @@
 		}
 	}
 	m.machines = append(m.machines, machine)
+	m.origins[machine] = map[uint64]origin{}
+	m.byName[entryName(i)] = machine
+	machine.Owners = router.NewOwners(entryInstance(i))
+	var others []router.Instance
+	for other := range m.entries {
+		if other != i {
+			others = append(others, entryInstance(other))
+		}
+	}
+	machine.Owners.Update(others)
 	m.calls[machine] = map[uint64]*fakeCall{}
 }
 
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func entryInstance(i int) router.Instance {
+	return router.Instance{
+		Name: entryName(i),
+		Zone: "zone-a",
+	}
+}
+
 func (m *model) scheduleTicks() {
 	for at := time.Duration(0); at < loadTime+m.timeout+time.Second; at += 5 * time.Millisecond {
 		m.after(at, func() {
 			for _, machine := range m.machines {
+				if m.frozen[machine] {
+					continue
+				}
 				machine.Tick(m.now)
 				m.carryOut(machine)
 			}
@@ -185,6 +232,9 @@
 		at += time.Duration(m.random.ExpFloat64() / m.rate * float64(time.Second))
 		machine := m.machines[int(id)%len(m.machines)]
 		m.after(at, func() {
+			if m.frozen[machine] {
+				return
+			}
 			machine.Start(m.now, Query{
 				ID:       id,
 				Service:  deskService,
@@ -202,7 +252,7 @@
 	actions := machine.Take()
 	for _, id := range actions.Cancels {
 		call := m.calls[machine][id]
-		m.after(loadHop, func() { m.cancel(call) })
+		m.after(m.hopOf(call), func() { m.cancel(call) })
 	}
 	for _, send := range actions.Sends {
 		call := &fakeCall{
@@ -211,7 +261,14 @@
 			replica: m.replicas[send.Upstream],
 		}
 		m.calls[machine][send.Request.GetAttempt()] = call
-		m.after(loadHop, func() { m.arrive(call) })
+		if send.Via != nil {
+			m.after(loadHop, func() { m.hand(call) })
+			continue
+		}
+		m.after(m.hopOf(call), func() { m.arrive(call) })
+	}
+	for _, r := range actions.Returns {
+		m.giveBack(machine, r)
 	}
 	for _, answer := range actions.Answers {
 		m.note(answer)
@@ -233,6 +290,51 @@
 	m.latencies = append(m.latencies, took)
 }
 
+func (m *model) hopOf(call *fakeCall) time.Duration {
+	if m.policy == router.Owner && call.send.Via == nil {
+		return nearHop
+	}
+	return loadHop
+}
+
+// hand gives a forwarded sub-request to its owner.
+func (m *model) hand(call *fakeCall) {
+	owner, ok := m.byName[call.send.Via.Name]
+	if call.cancelled || !ok || m.frozen[owner] {
+		return
+	}
+	m.accepted++
+	call.owner = owner
+	call.accepted = m.accepted
+	m.origins[owner][m.accepted] = origin{
+		machine: call.machine,
+		attempt: call.send.Request.GetAttempt(),
+	}
+	owner.Accept(m.now, Forwarded{
+		ID:        m.accepted,
+		Upstreams: call.send.Upstreams,
+		Request:   call.send.Request,
+		Deadline:  call.send.Deadline,
+	})
+	m.carryOut(owner)
+}
+
+func (m *model) giveBack(owner *Machine, r Return) {
+	from := m.origins[owner][r.ID]
+	m.after(loadHop, func() {
+		if m.frozen[from.machine] {
+			return
+		}
+		from.machine.NoteWait(m.now, from.attempt, r.Wait)
+		if r.Reply != nil {
+			from.machine.Reply(m.now, from.attempt, r.Reply)
+		} else {
+			from.machine.Fail(m.now, from.attempt, r.Failure)
+		}
+		m.carryOut(from.machine)
+	})
+}
+
 func (m *model) arrive(call *fakeCall) {
 	if call.cancelled {
 		return
@@ -246,6 +348,14 @@
 		return
 	}
 	call.cancelled = true
+	if call.owner != nil && m.frozen[call.owner] {
+		return
+	}
+	if call.owner != nil {
+		call.owner.Abandon(m.now, call.accepted)
+		m.carryOut(call.owner)
+		return
+	}
 	if call.started {
 		call.replica.running--
 		m.serve(call.replica)
@@ -273,7 +383,10 @@
 	call.cancelled = true
 	call.replica.running--
 	m.serve(call.replica)
-	m.after(loadHop, func() {
+	m.after(m.hopOf(call), func() {
+		if m.frozen[call.machine] {
+			return
+		}
 		call.machine.Reply(m.now, call.send.Request.GetAttempt(), &wire.SearchResponse{
 			Attempt:  call.send.Request.GetAttempt(),
 			Shard:    call.send.Request.GetShard(),
@@ -329,6 +442,62 @@
 	}
 }
 
+// TestOwnerInTrouble shows that no query is lost or cut when an owner is, or while the entry instances disagree on who owns what.
+func TestOwnerInTrouble(t *testing.T) {
+	cases := []struct {
+		name    string
+		trouble func(m *model)
+	}{
+		{name: "owner frozen", trouble: func(m *model) {
+			m.after(3*time.Second, func() { m.frozen[m.machines[7]] = true })
+			m.after(4500*time.Millisecond, func() { m.agree(7) })
+		}},
+		{name: "owner frozen and thawed", trouble: func(m *model) {
+			m.after(3*time.Second, func() { m.frozen[m.machines[7]] = true })
+			m.after(4*time.Second, func() { m.frozen[m.machines[7]] = false })
+		}},
+		{name: "membership in dispute", trouble: func(m *model) {
+			for i := range 4 {
+				m.see(i, 7)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := play(t, load{
+				policy:  router.Owner,
+				entries: 8,
+				rate:    100,
+				seed:    1,
+				timeout: loadTimeout,
+				trouble: c.trouble,
+			})
+			t.Logf("p50 %v, p99 %v, answered %d, partial %d, refused %d, work %.3f", o.quantile(0.5), o.quantile(0.99), o.answered, o.partial, o.refused, o.work())
+			if o.partial+o.refused > 0 {
+				t.Errorf("%d partial answers and %d refusals", o.partial, o.refused)
+			}
+		})
+	}
+}
+
+// agree takes an instance out of every membership.
+func (m *model) agree(gone int) {
+	for i := range m.machines {
+		m.see(i, gone)
+	}
+}
+
+// see takes an instance out of one membership.
+func (m *model) see(i, gone int) {
+	var others []router.Instance
+	for other := range m.machines {
+		if other != i && other != gone {
+			others = append(others, entryInstance(other))
+		}
+	}
+	m.machines[i].Owners.Update(others)
+}
+
 // TestOverload asks twice what the slots can do: as much is answered as at capacity, and the rest is refused at once.
 func TestOverload(t *testing.T) {
 	at := playPolicy(t, router.Owner, 400, false)
@@ -353,10 +522,6 @@
 		seed:    1,
 		timeout: loadTimeout,
 	}
-	if policy == router.Owner {
-		// One machine stands for the owners, each of which sees all that its replicas get.
-		l.entries = 1
-	}
 	o := play(t, l)
 	t.Logf("seed %d, %s: p50 %v, p99 %v, p99.9 %v, answered %d, partial %d, refused %d, work %.3f", l.seed, policy,
 		o.quantile(0.5), o.quantile(0.99), o.quantile(0.999), o.answered, o.partial, o.refused, o.work())
--- a/internal/coordination/gatherer/machine.go
+++ b/internal/coordination/gatherer/machine.go
@@ -29,6 +29,7 @@
 	Router    *router.Router
 	Tenants   *limiter.TenantLimiter
 	Budget    *limiter.Budget
+	Owners    *router.Owners
 
 	config      *wire.Config
 	gathers     map[uint64]*gather
@@ -41,7 +42,11 @@
 	incomplete map[uint64]*gather
 	withdrawn  map[withdrawnKey]time.Time
 	cleanAt    time.Time
-	actions    Actions
+	// handed are the sub-requests that other owners have, by owner.
+	handed map[string]*handedTo
+	// waits are what other owners have said of their queues, by group.
+	waits   map[string]ownerWait
+	actions Actions
 }
 
 type deadline struct {
@@ -65,6 +70,9 @@
 		hedges:      queuer.NewHeap(func(a, b hedge) bool { return a.at.Before(b.at) }),
 		incomplete:  map[uint64]*gather{},
 		withdrawn:   map[withdrawnKey]time.Time{},
+		Owners:      router.NewOwners(router.Instance{}),
+		handed:      map[string]*handedTo{},
+		waits:       map[string]ownerWait{},
 	}
 }
 
@@ -137,8 +145,7 @@
 		return
 	}
 	s := a.shard
-	m.Router.Answered(a.replica.Upstream, s.gather.query.Service, now.Sub(a.sentAt))
-	m.queue.Observe(now, a.replica.Upstream, now.Sub(a.sentAt), m.Router.Stall(s.gather.query.Service))
+	m.learnAnswer(now, a)
 	s.rows = reply.GetRows()
 	s.done = true
 	m.endAttempt(now, a)
@@ -161,8 +168,25 @@
 	m.finishIfOver(now, s.gather)
 }
 
+// learnAnswer keeps what a reply says about its replica.
+func (m *Machine) learnAnswer(now time.Time, a *attempt) {
+	service := a.shard.gather.query.Service
+	took := now.Sub(a.sentAt)
+	if a.via != nil {
+		m.Router.AnsweredByOwner(a.replica.Upstream, service, took)
+		m.hearOwner(now, a)
+		return
+	}
+	m.Router.Answered(a.replica.Upstream, service, took)
+	m.queue.Observe(now, a.replica.Upstream, took, m.Router.Stall(service))
+}
+
 // learn keeps what a failure says about its replica.
 func (m *Machine) learn(now time.Time, a *attempt, failure Failure) {
+	if a.via != nil {
+		m.learnFromOwner(now, a, failure)
+		return
+	}
 	switch {
 	case failure.Leaving:
 		m.Registrar.MarkLeaving(a.replica.Upstream, a.replica.Incarnation)
@@ -190,6 +214,7 @@
 	m.Registrar.Expire(now)
 	m.clean(now)
 	m.endOverdue(now)
+	m.giveUpOwners(now)
 	m.hedgeStragglers(now)
 	m.reconsiderAll(now)
 	m.pullAll(now)
@@ -222,7 +247,6 @@
 // fanOut asks every shard for the first time.
 func (m *Machine) fanOut(now time.Time, g *gather) {
 	for _, s := range g.shards {
-		m.Budget.Earn()
 		m.place(now, s, AttemptFirst)
 	}
 	m.finishIfOver(now, g)
@@ -237,6 +261,11 @@
 
 // finish answers with what has come in; reason is used where that is not everything.
 func (m *Machine) finish(now time.Time, g *gather, reason Reason) {
+	if g.forwarded != nil {
+		m.giveBack(now, g)
+		m.dropGather(now, g)
+		return
+	}
 	answer := g.answer(now, m.config.GetRevision(), reason)
 	m.dropGather(now, g)
 	m.actions.Answers = append(m.actions.Answers, answer)
--- a/internal/coordination/gatherer/placement.go
+++ b/internal/coordination/gatherer/placement.go
@@ -26,6 +26,9 @@
 	g := s.gather
 	version := g.manifest.GetVersion()
 	known := m.Registrar.Replicas(g.query.Service, version, s.name)
+	if g.forwarded != nil {
+		known = m.owned(known, g.forwarded.Upstreams)
+	}
 	if len(s.tried) == 0 && len(m.withdrawn) == 0 {
 		return known
 	}
@@ -46,7 +49,7 @@
 	each := m.Router.Service(g.query.Service)
 	var longest time.Duration
 	for _, s := range g.shards {
-		longest = max(longest, m.queue.Wait(m.candidates(now, s), each))
+		longest = max(longest, m.waitFor(now, s, each))
 	}
 	left := time.Duration(admissionShare * float64(g.deadline().Sub(now)))
 	if longest == 0 || longest+each <= left {
@@ -66,11 +69,17 @@
 		m.send(now, s, m.Router.Pick(now, candidates), kind, 0)
 		return
 	}
-	if free := m.pickFree(now, s, candidates); free != nil {
+	local := m.localPart(now, s, candidates)
+	if free := m.pickFree(now, s, local); free != nil {
 		m.send(now, s, free, kind, 0)
 		return
 	}
-	m.enqueue(now, s, candidates, kind)
+	chosen := m.Router.Pick(now, candidates)
+	if m.isLocal(now, s, chosen) {
+		m.enqueue(now, s, local, kind)
+		return
+	}
+	m.forward(now, s, chosen, candidates, kind)
 }
 
 func (m *Machine) enqueue(now time.Time, s *shardState, candidates []*registrar.Replica, kind AttemptKind) {
@@ -119,21 +128,36 @@
 }
 
 func (m *Machine) send(now time.Time, s *shardState, replica *registrar.Replica, kind AttemptKind, waited time.Duration) {
-	g := s.gather
+	if kind == AttemptFirst {
+		m.Budget.Earn()
+	}
+	a := m.newAttempt(now, s, replica)
+	s.tried = append(s.tried, replica.Upstream)
+	m.start(now, a, kind, waited)
+}
+
+func (m *Machine) newAttempt(now time.Time, s *shardState, replica *registrar.Replica) *attempt {
 	m.lastAttempt++
-	a := &attempt{
+	return &attempt{
 		id:      m.lastAttempt,
 		shard:   s,
-		version: g.manifest.GetVersion(),
+		version: s.gather.manifest.GetVersion(),
 		replica: replica,
 		sentAt:  now,
 	}
+}
+
+func (m *Machine) start(now time.Time, a *attempt, kind AttemptKind, waited time.Duration) {
+	s := a.shard
+	g := s.gather
+	replica := a.replica
 	m.attempts[a.id] = a
 	s.attempts = append(s.attempts, a)
-	s.tried = append(s.tried, replica.Upstream)
 	m.Router.Sent(replica.Upstream)
 	m.noteStart(now, a, kind)
 	m.actions.Sends = append(m.actions.Sends, Send{
+		Via:       a.via,
+		Upstreams: a.upstreams,
 		Query:     g.query.ID,
 		RequestID: g.query.RequestID,
 		Upstream:  replica.Upstream,
@@ -147,12 +171,12 @@
 
 func (m *Machine) noteStart(now time.Time, a *attempt, kind AttemptKind) {
 	policy := m.Router.Policy()
-	if policy.Queues() {
+	if policy.Queues() && a.via == nil {
 		m.queue.Started(now, a.replica, a.id)
 	}
 	if policy.Hedges() && kind != AttemptHedge {
 		m.hedges.Push(hedge{
-			at:      now.Add(m.Router.HedgeDelay(a.shard.gather.query.Service)),
+			at:      now.Add(m.hedgeDelay(a)),
 			attempt: a.id,
 		})
 	}
@@ -163,6 +187,10 @@
 	delete(m.attempts, a.id)
 	a.shard.remove(a)
 	m.Router.Done(a.replica.Upstream)
+	if a.via != nil {
+		delete(m.handed[a.via.Name].attempts, a.id)
+		return
+	}
 	if m.Router.Policy().Queues() {
 		m.queue.Ended(a.replica.Upstream, a.id)
 		m.pull(now, a.replica)
@@ -192,6 +220,9 @@
 // observe keeps how long an attempt was waited for in vain.
 func (m *Machine) observe(now time.Time, a *attempt) {
 	waited := now.Sub(a.sentAt)
+	if a.via != nil {
+		return
+	}
 	stall := m.Router.Stall(a.shard.gather.query.Service)
 	m.Router.Outrun(a.replica.Upstream, waited)
 	if waited > stall {
@@ -267,16 +298,21 @@
 	if len(candidates) == 0 {
 		return true
 	}
-	replica := m.pickFree(now, s, candidates)
-	if replica == nil && !m.Router.Policy().Queues() {
-		return false
+	if !m.Router.Policy().Queues() {
+		return m.sendBlindHedge(now, s, candidates)
 	}
 	if !m.Budget.Spend(now) {
 		return false
 	}
-	if replica == nil {
-		m.enqueue(now, s, candidates, AttemptHedge)
-		return true
+	m.place(now, s, AttemptHedge)
+	return true
+}
+
+// sendBlindHedge hedges only where this instance has left a slot free, since nothing here would queue.
+func (m *Machine) sendBlindHedge(now time.Time, s *shardState, candidates []*registrar.Replica) bool {
+	replica := m.pickFree(now, s, candidates)
+	if replica == nil || !m.Budget.Spend(now) {
+		return false
 	}
 	m.send(now, s, replica, AttemptHedge, 0)
 	return true
--- a/internal/coordination/gatherer/restart.go
+++ b/internal/coordination/gatherer/restart.go
@@ -20,13 +20,15 @@
 }
 
 func (m *Machine) markWithdrawn(now time.Time, a *attempt) {
-	key := withdrawnKey{
-		upstream: a.replica.Upstream,
-		service:  a.shard.gather.query.Service,
-		version:  a.version,
-		shard:    a.shard.name,
+	for _, upstream := range a.upstreamsOf() {
+		key := withdrawnKey{
+			upstream: upstream,
+			service:  a.shard.gather.query.Service,
+			version:  a.version,
+			shard:    a.shard.name,
+		}
+		m.withdrawn[key] = now.Add(withdrawnAge)
 	}
-	m.withdrawn[key] = now.Add(withdrawnAge)
 }
 
 func (m *Machine) isWithdrawn(now time.Time, key withdrawnKey) bool {
@@ -109,7 +111,7 @@
 
 // restart begins the query anew on a newer version that covers more, where time is left for it.
 func (m *Machine) restart(now time.Time, g *gather) bool {
-	if g.over || g.restarts == mostRestarts || now.Add(m.Router.HedgeDelay(g.query.Service)).After(g.deadline()) {
+	if g.over || g.forwarded != nil || g.restarts == mostRestarts || now.Add(m.Router.HedgeDelay(g.query.Service)).After(g.deadline()) {
 		return false
 	}
 	choice, ok := m.chooseVersion(now, g.query)
--- a/internal/coordination/gatherer/types.go
+++ b/internal/coordination/gatherer/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/router"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -56,6 +57,9 @@
 	RequestID string
 	Upstream  string
 	Address   string
+	// Via is the owner that the sub-request is handed to with the upstreams it may choose from, or nil.
+	Via       *router.Instance
+	Upstreams []string
 	Request   *wire.SearchRequest
 	Deadline  time.Time
 	// Kind is first, retry or hedge.
@@ -81,6 +85,7 @@
 	Sends    []Send
 	Answers  []Answer
 	Restarts []Restart
+	Returns  []Return
 }
 
 // Restart says that a query was begun anew on a newer version.
@@ -99,4 +104,12 @@
 	Leaving bool
 	// NotHeld says that the upstream no longer holds the version.
 	NotHeld bool
+	// Overload says that the owner did not queue it, for want of time.
+	Overload bool
+	// OwnerLost says that the owner gave no word at all, or does not own the replicas.
+	OwnerLost bool
+	// Tried are the upstreams that the owner has asked in vain.
+	Tried []string
+	// Wait is how long the owner expects the next sub-request to be queued.
+	Wait time.Duration
 }
--- a/internal/coordination/registrar/index.go
+++ b/internal/coordination/registrar/index.go
@@ -39,6 +39,7 @@
 		Zone:        ann.GetZone(),
 		Slots:       ann.GetSlots(),
 		Connections: ann.GetConnections(),
+		Group:       groupOf(ann),
 	}
 	limitTo(replica, config)
 	x.limits[replica.Address] = replica.Connections
@@ -57,6 +58,18 @@
 	}
 }
 
+// groupOf returns the first of the shards held, whatever the version.
+func groupOf(ann *wire.Announcement) string {
+	first := ""
+	for _, holding := range ann.GetHoldings() {
+		name := holding.GetService() + "/" + holding.GetShard()
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
+
 // limitTo applies what operators have set for the upstream, which never raises what it announces.
 func limitTo(replica *Replica, config *wire.Config) {
 	for _, setting := range config.GetUpstreams() {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -39,6 +39,8 @@
 	Zone        string
 	Slots       uint32
 	Connections uint32
+	// Group is the first shard it holds, by which replicas of one shard come to one owner.
+	Group string
 }
 
 // Registrar is the table of announcements; it is not safe for concurrent use.
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -43,7 +43,9 @@
 	turns  map[string]int
 	loads  map[string]*load
 	speeds map[string]*speed
-	fresh  []*registrar.Replica
+	// vias are the speeds of services through owners, their queues included.
+	vias  map[string]*speed
+	fresh []*registrar.Replica
 }
 
 // New returns a router that has sent nothing yet.
@@ -55,6 +57,7 @@
 		turns:  map[string]int{},
 		loads:  map[string]*load{},
 		speeds: map[string]*speed{},
+		vias:   map[string]*speed{},
 	}
 }
 
@@ -90,10 +93,18 @@
 
 // Answered notes how long the upstream took to answer for the service.
 func (r *Router) Answered(upstream, service string, took time.Duration) {
+	r.answered(upstream, speedOf(r.speeds, service), took)
+}
+
+// AnsweredByOwner notes how long the upstream's owner took to answer for the service.
+func (r *Router) AnsweredByOwner(upstream, service string, took time.Duration) {
+	r.answered(upstream, speedOf(r.vias, service), took)
+}
+
+func (r *Router) answered(upstream string, s *speed, took time.Duration) {
 	l := r.load(upstream)
 	l.failures = 0
 	l.latency += time.Duration(latencyShare * float64(took-l.latency))
-	s := r.speed(service)
 	s.mean += time.Duration(latencyShare * float64(took-s.mean))
 	s.hedge.Observe(took)
 }
@@ -119,6 +130,13 @@
 	return ok && now.Before(l.rests)
 }
 
+// Recovered ends the rest of one that has failed.
+func (r *Router) Recovered(upstream string) {
+	l := r.load(upstream)
+	l.failures = 0
+	l.rests = time.Time{}
+}
+
 // InFlight returns how many sub-requests the upstream has from this instance.
 func (r *Router) InFlight(upstream string) int {
 	return r.load(upstream).inFlight
@@ -126,7 +144,12 @@
 
 // HedgeDelay returns after how long a sub-request of the service counts as a straggler.
 func (r *Router) HedgeDelay(service string) time.Duration {
-	return r.speed(service).hedge.Value()
+	return speedOf(r.speeds, service).hedge.Value()
+}
+
+// OwnerHedgeDelay returns after how long a sub-request that an owner has counts as a straggler.
+func (r *Router) OwnerHedgeDelay(service string) time.Duration {
+	return speedOf(r.vias, service).hedge.Value()
 }
 
 // Stall returns after how long an attempt of the service makes its replica suspect.
@@ -144,7 +167,7 @@
 }
 
 // Service returns how long a sub-request of the service takes on average.
-func (r *Router) Service(service string) time.Duration { return r.speed(service).mean }
+func (r *Router) Service(service string) time.Duration { return speedOf(r.speeds, service).mean }
 
 // Forget drops what is known of idle upstreams that are not kept.
 func (r *Router) Forget(keep func(upstream string) bool) {
@@ -196,15 +219,15 @@
 	return known
 }
 
-func (r *Router) speed(service string) *speed {
-	known, ok := r.speeds[service]
+func speedOf(speeds map[string]*speed, service string) *speed {
+	known, ok := speeds[service]
 	if !ok {
 		known = &speed{
 			mean:  defaultService,
 			hedge: NewQuantile(hedgeShare),
 		}
 		known.hedge.Observe(defaultHedgeDelay)
-		r.speeds[service] = known
+		speeds[service] = known
 	}
 	return known
 }
--- a/internal/transport/gateway/decisions.go
+++ b/internal/transport/gateway/decisions.go
@@ -78,7 +78,11 @@
 		return
 	}
 	request := d.send.Request
+	owner := ""
+	if d.send.Via != nil {
+		owner = d.send.Via.Name
+	}
 	l.log.Info("routed", "request-id", d.send.RequestID, "query", d.send.Query, "attempt", request.GetAttempt(), "kind", d.send.Kind,
 		"service", request.GetService(), "shard", request.GetShard(), "version", request.GetVersion(),
-		"upstream", d.send.Upstream, "waited-us", d.send.Waited.Microseconds())
+		"upstream", d.send.Upstream, "owner", owner, "waited-us", d.send.Waited.Microseconds())
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -44,8 +44,11 @@
 	events    chan event
 	ends      chan sender.End
 	waiting   map[uint64]chan gatherer.Answer
-	lastQuery atomic.Uint64
-	lastRun   atomic.Uint64
+	returning map[uint64]chan gatherer.Return
+	// ownersVersion is the membership that owners were last chosen by.
+	ownersVersion uint64
+	lastQuery     atomic.Uint64
+	lastRun       atomic.Uint64
 	// revision is the configuration in force, floor the newest one that was in force here in an earlier life.
 	revision  atomic.Uint64
 	floor     atomic.Uint64
@@ -85,6 +88,7 @@
 		events:    make(chan event, eventRing),
 		ends:      ends,
 		waiting:   map[uint64]chan gatherer.Answer{},
+		returning: map[uint64]chan gatherer.Return{},
 		startedAt: time.Now(),
 		closing:   make(chan struct{}),
 		stop:      make(chan struct{}),
@@ -96,6 +100,11 @@
 		return nil, err
 	}
 	g.tracker = newTracker(settings, g.peers.Address())
+	g.machine.Owners = router.NewOwners(router.Instance{
+		Name:    settings.Instance,
+		Address: g.peers.Address(),
+		Zone:    settings.Zone,
+	})
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.concluder = newConcluder(g)
@@ -179,6 +188,10 @@
 }
 
 func (g *Gateway) takeEnd(now time.Time, end sender.End) {
+	if end.Forwarded {
+		g.takeForwarded(now, end)
+		return
+	}
 	if end.Reply != nil {
 		g.machine.Reply(now, end.Attempt, end.Reply)
 		return
@@ -205,7 +218,10 @@
 			send: &actions.Sends[i],
 		})
 		g.meter.attempt(send.Kind)
-		g.sender.Search(send.Address, send.Request, send.Deadline)
+		g.dispatch(&actions.Sends[i])
+	}
+	for _, returned := range actions.Returns {
+		g.giveBack(returned)
 	}
 	for _, answer := range actions.Answers {
 		g.hand(answer)
--- a/internal/transport/gateway/membership.go
+++ b/internal/transport/gateway/membership.go
@@ -36,6 +36,7 @@
 	g.tracker.Beat(g.machine.Config().GetRevision(), view)
 	members := g.tracker.Members("")
 	g.machine.Registrar.SetReach(len(members))
+	g.updateOwners()
 }
 
 func (g *Gateway) updateShare(now time.Time) {
--- a/internal/transport/sender/search.go
+++ b/internal/transport/sender/search.go
@@ -21,6 +21,12 @@
 	Err     error
 	// NotStarted is the upstream's word that it began no work, or nil.
 	NotStarted *wire.NotStarted
+	// Forwarded says that it went to an owner, which expects the next one to be queued for Wait.
+	Forwarded    bool
+	Wait         time.Duration
+	NotForwarded *wire.NotForwarded
+	// TimeUp says that it was ended here, by its deadline or by Cancel.
+	TimeUp bool
 }
 
 // Sender keeps one multiplexed connection to each upstream; a cancelled search resets its stream and keeps the connection.
@@ -31,6 +37,9 @@
 	client  *http.Client
 	mutex   sync.Mutex
 	clients map[string]wireconnect.UpstreamServiceClient
+	// peers and owners reach other entry instances, whose connections have no limit.
+	peers   *http.Client
+	owners  map[string]wireconnect.PeerServiceClient
 	cancels map[uint64]context.CancelFunc
 	ends    chan<- End
 	calls   sync.WaitGroup
@@ -43,6 +52,8 @@
 		Connections: connections,
 		client:      listener.NewSingleClient(connections.dialSearch),
 		clients:     map[string]wireconnect.UpstreamServiceClient{},
+		peers:       listener.NewClient(),
+		owners:      map[string]wireconnect.PeerServiceClient{},
 		cancels:     map[uint64]context.CancelFunc{},
 		ends:        ends,
 	}
@@ -79,6 +90,7 @@
 	s.mutex.Unlock()
 	s.calls.Wait()
 	s.client.CloseIdleConnections()
+	s.peers.CloseIdleConnections()
 }
 
 func (s *Sender) open(address string, attempt uint64, cancel context.CancelFunc) wireconnect.UpstreamServiceClient {
