Answer reads only after an own entry is committed

Cause: a new leader held its lease from the moment it won, before it knew which entries of earlier terms were committed, so a plan could be read from a revision older than one already acknowledged. Change: LeaseHolds also asks for a committed entry of the leader's own term; contact with a quorum alone (hearsQuorum) still decides stepping down and proposals. Conclusion: the gate closes stale reads of a new leader.

--- a/internal/state/journaler/election.go
+++ b/internal/state/journaler/election.go
@@ -120,7 +120,7 @@
 		// A vote just given counts as contact, so that the lease starts whole.
 		m.peer(member.GetId()).heardAt = now
 	}
-	m.appendOwn(wire.EntryKind_ENTRY_KIND_LEADER, nil)
+	m.leadsFrom = m.appendOwn(wire.EntryKind_ENTRY_KIND_LEADER, nil)
 	m.sendAppends(now)
 	m.advanceCommit()
 }
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -105,6 +105,7 @@
 	beatAt    time.Time
 	votes     map[string]bool
 	peers     map[string]*progress
+	leadsFrom uint64
 	round     uint64
 	roundAt   map[uint64]time.Time
 	actions   Actions
@@ -158,11 +159,12 @@
 	return peer.match
 }
 
-// LeaseHolds reports whether a quorum has confirmed this leader within the lease.
+// LeaseHolds reports whether this leader may answer reads: a quorum has confirmed it within the lease, and it has committed an entry of its own term, so that it knows of all that was committed before.
 func (m *Machine) LeaseHolds(now time.Time) bool {
-	if m.role != Leader {
-		return false
-	}
+	return m.role == Leader && m.commit >= m.leadsFrom && m.hearsQuorum(now)
+}
+
+func (m *Machine) hearsQuorum(now time.Time) bool {
 	return m.members.HasQuorum(func(id string) bool {
 		return id == m.ID() || now.Sub(m.peer(id).heardAt) < m.timing.Lease
 	})
@@ -189,7 +191,7 @@
 
 // Propose appends an entry if this instance leads, and returns its index and term.
 func (m *Machine) Propose(now time.Time, kind wire.EntryKind, payload []byte) (uint64, uint64, error) {
-	if m.role != Leader || !m.LeaseHolds(now) {
+	if m.role != Leader || !m.hearsQuorum(now) {
 		return 0, 0, &NotLeaderError{
 			Leader: m.leader,
 		}
@@ -310,7 +312,7 @@
 // hearsLeader reports whether a leader was heard too recently for anyone to be elected.
 func (m *Machine) hearsLeader(now time.Time) bool {
 	if m.role == Leader {
-		return m.LeaseHolds(now)
+		return m.hearsQuorum(now)
 	}
 	return m.leader != "" && now.Sub(m.heardAt) < m.timing.Election
 }
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -18,7 +18,7 @@
 }
 
 func (m *Machine) tickLeader(now time.Time) {
-	if !m.LeaseHolds(now) {
+	if !m.hearsQuorum(now) {
 		m.becomeFollower(now, m.Term(), "")
 		return
 	}
