--- a/internal/state/journaler/election.go
+++ b/internal/state/journaler/election.go
@@ -116,10 +116,7 @@
 	m.leader = m.ID()
 	m.peers = map[string]*progress{}
 	m.roundAt = map[uint64]time.Time{}
-	for _, member := range m.members {
-		// A vote just given counts as contact, so that the lease starts whole.
-		m.peer(member.GetId()).heardAt = now
-	}
+	m.leadsSince = now
 	m.leadsFrom = m.appendOwn(wire.EntryKind_ENTRY_KIND_LEADER, nil)
 	m.sendAppends(now)
 	m.advanceCommit()
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -13,6 +13,8 @@
 const (
 	// maxBatch is the number of entries in one append at most.
 	maxBatch = 256
+	// maxRounds is the number of rounds whose time of sending is kept for the lease.
+	maxRounds = 4096
 	// maxProposals is the number of entries that may await their commit.
 	maxProposals = 4096
 )
@@ -85,6 +87,8 @@
 	next    uint64
 	match   uint64
 	heardAt time.Time
+	// snapshotAt is when a snapshot was last sent.
+	snapshotAt time.Time
 }
 
 // Machine is one control instance's part in the agreement.
@@ -105,9 +109,14 @@
 	beatAt    time.Time
 	votes     map[string]bool
 	peers     map[string]*progress
-	leadsFrom uint64
-	round     uint64
-	roundAt   map[uint64]time.Time
+	// leadsFrom and leadsSince are the index and the time at which the leader was elected.
+	leadsFrom  uint64
+	leadsSince time.Time
+	round      uint64
+	roundAt    map[uint64]time.Time
+	// owesRound is set while the others are to hear of new entries or commits, and owesSince is when it was.
+	owesRound bool
+	owesSince time.Time
 	actions   Actions
 }
 
@@ -125,6 +134,8 @@
 	m.commit = saved.Snapshot.GetIndex()
 	m.delivered = m.commit
 	m.refreshMembers()
+	// A restart has forgotten when it last confirmed a leader's lease, so it takes that to be now.
+	m.heardAt = now
 	m.resetElection(now)
 	return m
 }
@@ -164,14 +175,23 @@
 	return m.role == Leader && m.commit >= m.leadsFrom && m.hearsQuorum(now)
 }
 
+// mayLead reports whether a leader is to go on: a quorum confirms it, or it was elected too lately for that.
+func (m *Machine) mayLead(now time.Time) bool {
+	return now.Sub(m.leadsSince) < m.timing.Lease || m.hearsQuorum(now)
+}
+
 func (m *Machine) hearsQuorum(now time.Time) bool {
 	return m.members.HasQuorum(func(id string) bool {
 		return id == m.ID() || now.Sub(m.peer(id).heardAt) < m.timing.Lease
 	})
 }
 
-// Take returns the actions gathered since the last call.
+// Take returns the actions gathered since the last call; one round tells the others of all that was proposed and committed in between.
 func (m *Machine) Take() Actions {
+	if m.owesRound && m.role == Leader {
+		m.sendAppends(m.owesSince)
+	}
+	m.owesRound = false
 	taken := m.actions
 	m.actions = Actions{}
 	return taken
@@ -191,7 +211,7 @@
 
 // Propose appends an entry if this instance leads, and returns its index and term.
 func (m *Machine) Propose(now time.Time, kind wire.EntryKind, payload []byte) (uint64, uint64, error) {
-	if m.role != Leader || !m.hearsQuorum(now) {
+	if m.role != Leader || !m.mayLead(now) {
 		return 0, 0, &NotLeaderError{
 			Leader: m.leader,
 		}
@@ -203,11 +223,18 @@
 		}
 	}
 	index := m.appendOwn(kind, payload)
-	m.sendAppends(now)
+	m.oweRound(now)
 	m.advanceCommit()
 	return index, m.Term(), nil
 }
 
+func (m *Machine) oweRound(now time.Time) {
+	if !m.owesRound {
+		m.owesSince = now
+	}
+	m.owesRound = true
+}
+
 // Compact replaces the applied prefix by a snapshot of the state at the index.
 func (m *Machine) Compact(index uint64, state []byte) {
 	term, held := m.log.Term(index)
@@ -312,9 +339,9 @@
 // hearsLeader reports whether a leader was heard too recently for anyone to be elected.
 func (m *Machine) hearsLeader(now time.Time) bool {
 	if m.role == Leader {
-		return m.hearsQuorum(now)
+		return m.mayLead(now)
 	}
-	return m.leader != "" && now.Sub(m.heardAt) < m.timing.Election
+	return now.Sub(m.heardAt) < m.timing.Election
 }
 
 func (m *Machine) refreshMembers() {
@@ -340,5 +367,8 @@
 
 // InContact reports whether this instance leads with its lease, or has heard its leader within the election timeout.
 func (m *Machine) InContact(now time.Time) bool {
-	return m.hearsLeader(now)
+	if m.role == Leader {
+		return m.LeaseHolds(now)
+	}
+	return m.leader != "" && m.hearsLeader(now)
 }
--- /dev/null
+++ b/internal/state/journaler/machine_test.go
@@ -0,0 +1,170 @@
+package journaler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
+
+func follower(hard *wire.HardState, entries ...*wire.JournalEntry) *Machine {
+	var members Members
+	for _, id := range []string{"a", "b", "c"} {
+		members = append(members, &wire.ControlMember{
+			Id: id,
+		})
+	}
+	hard.Id = "b"
+	return New(testTiming, rand.New(rand.NewPCG(1, 1)), Saved{
+		Hard: hard,
+		Snapshot: &wire.JournalSnapshot{
+			Members: &wire.MemberList{
+				Members: members,
+			},
+		},
+		Entries: entries,
+	}, at(0))
+}
+
+func voteAsk(term uint64) *wire.JournalMessage {
+	return &wire.JournalMessage{
+		From: "c",
+		To:   "b",
+		Term: term,
+		Body: &wire.JournalMessage_VoteAsk{
+			VoteAsk: &wire.VoteAsk{
+				LastIndex: 100,
+				LastTerm:  100,
+			},
+		},
+	}
+}
+
+func heartbeat(term uint64) *wire.JournalMessage {
+	return &wire.JournalMessage{
+		From: "a",
+		To:   "b",
+		Term: term,
+		Body: &wire.JournalMessage_AppendAsk{
+			AppendAsk: &wire.AppendAsk{},
+		},
+	}
+}
+
+// TestNoVoteWithinLease holds that who has just confirmed a leader's lease elects no other, whatever happens in between.
+func TestNoVoteWithinLease(t *testing.T) {
+	cases := []struct {
+		name    string
+		between func(m *Machine) *Machine
+	}{
+		{"nothing", func(m *Machine) *Machine { return m }},
+		{"a restart", func(*Machine) *Machine {
+			return follower(&wire.HardState{
+				Term: 3,
+			})
+		}},
+		{"a refusal of a newer term", func(m *Machine) *Machine {
+			m.Step(at(1), &wire.JournalMessage{
+				From: "c",
+				To:   "b",
+				Term: 4,
+				Body: &wire.JournalMessage_VoteReply{
+					VoteReply: &wire.VoteReply{
+						Pre: true,
+					},
+				},
+			})
+			return m
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := follower(&wire.HardState{
+				Term: 3,
+			})
+			m.Step(at(0), heartbeat(3))
+			m = c.between(m)
+			m.Take()
+			m.Step(at(50), voteAsk(5))
+			for _, message := range m.Take().Messages {
+				if message.GetVoteReply().GetGranted() {
+					t.Errorf("granted a vote within the lease: %v", message)
+				}
+			}
+			m.Step(at(110), voteAsk(5))
+			if granted := m.Take().Messages; len(granted) != 1 || !granted[0].GetVoteReply().GetGranted() {
+				t.Errorf("granted no vote after the lease: %v", granted)
+			}
+		})
+	}
+}
+
+// TestNoLeaseFromOldVote holds that a vote which comes late gives no lease.
+func TestNoLeaseFromOldVote(t *testing.T) {
+	m := follower(&wire.HardState{})
+	m.Tick(at(250))
+	m.Take()
+	for _, pre := range []bool{true, false} {
+		m.Step(at(5000), &wire.JournalMessage{
+			From: "c",
+			To:   "b",
+			Term: 1,
+			Body: &wire.JournalMessage_VoteReply{
+				VoteReply: &wire.VoteReply{
+					Pre:     pre,
+					Granted: true,
+				},
+			},
+		})
+	}
+	if m.Role() != Leader || m.LeaseHolds(at(5000)) || m.InContact(at(5000)) {
+		t.Errorf("role %d, lease %t, in contact %t; want a leader without a lease", m.Role(), m.LeaseHolds(at(5000)), m.InContact(at(5000)))
+	}
+}
+
+// TestInstallKeepsBatch holds that what was acknowledged in the batch of a snapshot is saved with it, and that a replaced tail is dropped.
+func TestInstallKeepsBatch(t *testing.T) {
+	entry := func(index, term uint64) *wire.JournalEntry {
+		return &wire.JournalEntry{
+			Index: index,
+			Term:  term,
+		}
+	}
+	snapshot := func(index, term uint64) *wire.JournalMessage {
+		return &wire.JournalMessage{
+			From: "a",
+			To:   "b",
+			Term: 3,
+			Body: &wire.JournalMessage_SnapshotAsk{
+				SnapshotAsk: &wire.SnapshotAsk{
+					Snapshot: &wire.JournalSnapshot{
+						Index: index,
+						Term:  term,
+					},
+				},
+			},
+		}
+	}
+	m := follower(&wire.HardState{
+		Term: 3,
+	})
+	ask := heartbeat(3)
+	ask.GetAppendAsk().Entries = []*wire.JournalEntry{entry(1, 3), entry(2, 3)}
+	m.Step(at(1), ask)
+	m.Step(at(2), snapshot(1, 3))
+	if got := m.Take().Entries; len(got) != 2 {
+		t.Errorf("saves %v, want both acknowledged entries", got)
+	}
+	m = follower(&wire.HardState{
+		Term: 3,
+	}, entry(1, 1), entry(2, 1), entry(3, 1))
+	m.Step(at(1), snapshot(2, 3))
+	if actions := m.Take(); actions.TruncateFrom != 3 || m.LastIndex() != 2 {
+		t.Errorf("truncates from %d, last index %d; want 3 and 2", actions.TruncateFrom, m.LastIndex())
+	}
+}
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -18,7 +18,7 @@
 }
 
 func (m *Machine) tickLeader(now time.Time) {
-	if !m.hearsQuorum(now) {
+	if !m.mayLead(now) {
 		m.becomeFollower(now, m.Term(), "")
 		return
 	}
@@ -49,26 +49,39 @@
 }
 
 func (m *Machine) sendAppends(now time.Time) {
+	m.owesRound = false
 	m.beatAt = now
 	m.round++
 	m.roundAt[m.round] = now
-	delete(m.roundAt, m.round-maxBatch)
+	delete(m.roundAt, m.round-maxRounds)
 	for _, member := range m.members {
 		if member.GetId() != m.ID() {
-			m.sendAppend(member.GetId())
+			m.sendAppend(now, member.GetId())
 		}
 	}
 }
 
-func (m *Machine) sendAppend(id string) {
+func (m *Machine) sendAppend(now time.Time, id string) {
 	peer := m.peer(id)
 	prev := peer.next - 1
 	prevTerm, held := m.log.Term(prev)
-	if !held {
+	if !held && now.Sub(peer.snapshotAt) >= m.timing.Election {
+		peer.snapshotAt = now
 		m.sendSnapshot(id)
 		return
 	}
+	if !held {
+		// While a snapshot is on its way, an empty append at the journal's start keeps the contact.
+		m.sendEntries(id, 0, 0, nil)
+		return
+	}
 	entries := m.log.Slice(peer.next, maxBatch)
+	m.sendEntries(id, prev, prevTerm, entries)
+	// What is sent is taken as received; a refusal moves next back.
+	peer.next += uint64(len(entries))
+}
+
+func (m *Machine) sendEntries(id string, prev, prevTerm uint64, entries []*wire.JournalEntry) {
 	m.send(&wire.JournalMessage{
 		To:   id,
 		Term: m.Term(),
@@ -82,8 +95,6 @@
 			},
 		},
 	})
-	// What is sent is taken as received; a refusal moves next back.
-	peer.next += uint64(len(entries))
 }
 
 func (m *Machine) sendSnapshot(id string) {
@@ -173,7 +184,7 @@
 	if !reply.GetMatched() {
 		peer.next = min(reply.GetIndex()+1, peer.next)
 		peer.next = max(peer.next, peer.match+1)
-		m.sendAppend(msg.GetFrom())
+		m.sendAppend(now, msg.GetFrom())
 		return
 	}
 	if reply.GetIndex() <= peer.match {
@@ -182,11 +193,11 @@
 	peer.match = reply.GetIndex()
 	peer.next = max(peer.next, peer.match+1)
 	if m.advanceCommit() {
-		m.sendAppends(now)
+		m.oweRound(now)
 		return
 	}
 	if peer.next <= m.log.LastIndex() {
-		m.sendAppend(msg.GetFrom())
+		m.sendAppend(now, msg.GetFrom())
 	}
 }
 
@@ -226,14 +237,22 @@
 	m.heardAt = now
 	snapshot := ask.GetSnapshot()
 	if snapshot.GetIndex() > m.commit {
-		m.log.Compact(snapshot)
-		m.base = snapshot.GetMembers().GetMembers()
-		m.refreshMembers()
-		m.commit = snapshot.GetIndex()
-		m.delivered = m.commit
-		m.actions.Snapshot = snapshot
-		m.actions.Entries = nil
-		m.actions.Committed = nil
+		m.install(snapshot)
 	}
 	m.replyAppend(msg.GetFrom(), true, snapshot.GetIndex(), ask.GetRound())
 }
+
+// install puts the leader's snapshot in the place of everything up to its index, and of what does not continue it.
+func (m *Machine) install(snapshot *wire.JournalSnapshot) {
+	term, held := m.log.Term(snapshot.GetIndex())
+	if !held || term != snapshot.GetTerm() {
+		m.truncate(snapshot.GetIndex() + 1)
+	}
+	m.log.Compact(snapshot)
+	m.base = snapshot.GetMembers().GetMembers()
+	m.refreshMembers()
+	m.commit = snapshot.GetIndex()
+	m.delivered = m.commit
+	m.actions.Snapshot = snapshot
+	m.actions.Committed = nil
+}
