Join a lost disk's instance under a new identity, as a learner first

Cause: an instance with an empty data folder did not start at all; forming it again would give it its old name without its votes.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -482,7 +482,7 @@
 	waitFor(f.t, readyLimit, "a control instance leads", func() bool {
 		for _, c := range f.controls {
 			status := c.status()
-			if status.GetLeader() == c.name {
+			if status.GetInstance() != "" && status.GetLeader() == status.GetInstance() {
 				found = c
 				return true
 			}
--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -75,6 +75,8 @@
 	state   uint64
 	asked   map[uint64]uint64
 	wakeAt  time.Time
+	// joining is set from the loss of a disk until the new identity has a vote.
+	joining bool
 }
 
 type flight struct {
@@ -96,7 +98,8 @@
 	leaders map[uint64]string
 	chain   map[uint64]uint64
 	acked   uint64
-	names   int
+	// names numbers the identities that lost disks came back under.
+	names int
 }
 
 func newCluster(t *testing.T, seed uint64, size int) *cluster {
@@ -141,7 +144,7 @@
 	return c
 }
 
-func (c *cluster) fail(format string, args ...any) {
+func (c *cluster) failf(format string, args ...any) {
 	c.t.Helper()
 	c.t.Fatalf("seed %d, at %s: %s", c.seed, c.now.Sub(time.Unix(1000, 0)), fmt.Sprintf(format, args...))
 }
@@ -188,9 +191,28 @@
 		},
 		snapshot: &wire.JournalSnapshot{},
 	}
+	n.joining = true
 	n.start()
 }
 
+// join asks each instance that it reaches for the next step of the repair.
+func (n *node) join() {
+	c := n.cluster
+	if n.machine.Joined() {
+		n.joining = false
+		return
+	}
+	for _, other := range c.nodes {
+		if other == n || !other.up() || !n.up() || c.cuts[n.address+">"+other.address] || c.cuts[other.address+">"+n.address] {
+			continue
+		}
+		_ = other.machine.Join(c.now, &wire.ControlMember{
+			Id:      n.id,
+			Address: n.address,
+		})
+	}
+}
+
 // work takes the waiting messages as one batch, then carries the actions out, or dies on the way.
 func (n *node) work(dies int) {
 	for _, message := range n.inbox {
@@ -241,7 +263,7 @@
 
 func (n *node) apply(entry *wire.JournalEntry) {
 	if entry.GetIndex() != n.applied+1 {
-		n.cluster.fail("%s applies %d after %d", n.id, entry.GetIndex(), n.applied)
+		n.cluster.failf("%s applies %d after %d", n.id, entry.GetIndex(), n.applied)
 	}
 	hash := fnv.New64a()
 	fmt.Fprintf(hash, "%d %d %x", n.state, entry.GetTerm(), entry.GetPayload())
@@ -274,7 +296,7 @@
 		return
 	}
 	if known != n.state {
-		c.fail("%s differs at index %d", n.id, n.applied)
+		c.failf("%s differs at index %d", n.id, n.applied)
 	}
 }
 
@@ -284,7 +306,7 @@
 	}
 	term := n.machine.Term()
 	if known, ok := c.leaders[term]; ok && known != n.id {
-		c.fail("term %d has the leaders %s and %s", term, known, n.id)
+		c.failf("term %d has the leaders %s and %s", term, known, n.id)
 	}
 	c.leaders[term] = n.id
 }
@@ -292,7 +314,7 @@
 // checkLease holds that a leader which may answer reads has applied all that was acknowledged.
 func (c *cluster) checkLease(n *node) {
 	if n.machine.LeaseHolds(c.now) && n.applied < c.acked {
-		c.fail("%s would answer from its lease at %d of term %d, acknowledged is %d", n.id, n.applied, n.machine.Term(), c.acked)
+		c.failf("%s would answer from its lease at %d of term %d, acknowledged is %d", n.id, n.applied, n.machine.Term(), c.acked)
 	}
 }
 
@@ -344,6 +366,9 @@
 		if !n.up() || c.now.Before(n.wakeAt) {
 			continue
 		}
+		if n.joining && c.random.IntN(20) == 0 {
+			n.join()
+		}
 		dies := diesNever
 		if c.lossy && c.random.IntN(1500) == 0 {
 			dies = 1 + c.random.IntN(diesWays-1)
@@ -370,7 +395,7 @@
 func (c *cluster) fault() {
 	n := c.nodes[c.random.IntN(len(c.nodes))]
 	other := c.nodes[c.random.IntN(len(c.nodes))]
-	switch c.random.IntN(9) {
+	switch c.random.IntN(10) {
 	case 0:
 		n.kill()
 	case 1:
@@ -385,9 +410,21 @@
 		c.cuts = map[string]bool{}
 	case 6, 7, 8:
 		c.raise(n)
+	case 9:
+		c.loseOne(n)
 	}
 }
 
+// loseOne takes one disk away, but no second one before the first is repaired.
+func (c *cluster) loseOne(n *node) {
+	for _, other := range c.nodes {
+		if other.joining {
+			return
+		}
+	}
+	n.lose()
+}
+
 func (c *cluster) raise(n *node) {
 	n.frozen = false
 	if n.machine == nil {
@@ -434,17 +471,20 @@
 	c.runFor(2 * time.Second)
 	n := c.leader()
 	if n == nil {
-		c.fail("no leader after all faults have ended")
+		c.failf("no leader after all faults have ended")
 	}
 	before := c.acked
 	c.propose(n, "last")
 	c.runFor(500 * time.Millisecond)
 	if c.acked <= before {
-		c.fail("a proposal after all faults was not acknowledged")
+		c.failf("a proposal after all faults was not acknowledged")
 	}
 	for _, n := range c.nodes {
+		if n.joining {
+			c.failf("%s did not get its vote", n.id)
+		}
 		if n.applied < c.acked {
-			c.fail("%s has applied %d of %d", n.id, n.applied, c.acked)
+			c.failf("%s has applied %d of %d", n.id, n.applied, c.acked)
 		}
 	}
 }
--- /dev/null
+++ b/internal/state/journaler/join.go
@@ -0,0 +1,160 @@
+package journaler
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// ChangePendingError is the refusal of a membership change before the one under way is committed.
+type ChangePendingError struct {
+	Commit uint64
+}
+
+// Error says up to where the journal is committed.
+func (e *ChangePendingError) Error() string {
+	return fmt.Sprintf("another change of the control instances is not committed yet; committed up to %d", e.Commit)
+}
+
+// JoinError is the refusal of an instance that asks to join.
+type JoinError struct {
+	ID      string
+	Address string
+	Reason  string
+}
+
+// Error names the instance and why it may not join.
+func (e *JoinError) Error() string {
+	return fmt.Sprintf("control instance %q at %s may not join: %s", e.ID, e.Address, e.Reason)
+}
+
+// ProposeMembers appends a membership that differs from the one in force by one member.
+func (m *Machine) ProposeMembers(now time.Time, next Members) (uint64, uint64, error) {
+	if m.role != Leader || !m.mayLead(now) {
+		return 0, 0, &NotLeaderError{
+			Leader: m.leader,
+		}
+	}
+	if m.changePending() {
+		return 0, 0, &ChangePendingError{
+			Commit: m.commit,
+		}
+	}
+	payload, err := proto.Marshal(&wire.MemberList{
+		Members: next,
+	})
+	if err != nil {
+		return 0, 0, fmt.Errorf("membership: %w", err)
+	}
+	return m.Propose(now, wire.EntryKind_ENTRY_KIND_MEMBERS, payload)
+}
+
+// changePending reports whether a membership may still be lost; a leader without a committed entry of its own term cannot know.
+func (m *Machine) changePending() bool {
+	return m.commit < m.leadsFrom || m.membersPending()
+}
+
+func (m *Machine) membersPending() bool {
+	for _, entry := range m.log.Slice(m.commit+1, maxProposals) {
+		if entry.GetKind() == wire.EntryKind_ENTRY_KIND_MEMBERS {
+			return true
+		}
+	}
+	return false
+}
+
+// Joined reports whether a committed membership gives this instance a vote.
+func (m *Machine) Joined() bool {
+	return m.members.IsVoter(m.ID()) && !m.membersPending()
+}
+
+// Join takes the next step by which an instance with an empty data folder takes the place of the lost one at its address: it is added as a learner, and once it holds all that is committed the lost identity is removed and the new one promoted, each change committed before the next.
+func (m *Machine) Join(now time.Time, joiner *wire.ControlMember) error {
+	if m.role != Leader || !m.mayLead(now) {
+		return &NotLeaderError{
+			Leader: m.leader,
+		}
+	}
+	if m.changePending() || m.members.IsVoter(joiner.GetId()) {
+		return nil
+	}
+	next, err := m.joinStep(now, joiner)
+	if err != nil || next == nil {
+		return err
+	}
+	_, _, err = m.ProposeMembers(now, next)
+	return err
+}
+
+// joinStep returns the membership that the joiner needs next, or nil while it has to catch up.
+func (m *Machine) joinStep(now time.Time, joiner *wire.ControlMember) (Members, error) {
+	lost := m.members.lostAt(joiner)
+	if m.members.Find(joiner.GetId()) == nil {
+		return m.addLearner(now, lost, joiner)
+	}
+	if m.Match(joiner.GetId()) < m.commit {
+		return nil, nil
+	}
+	if lost != nil {
+		return m.members.Without(lost.GetId()), m.checkLost(now, lost, joiner)
+	}
+	return m.members.With(asVoter(joiner)), nil
+}
+
+func (m *Machine) addLearner(now time.Time, lost, joiner *wire.ControlMember) (Members, error) {
+	if lost == nil {
+		return nil, joinError(joiner, "no control instance is known at its address; plan add-control first")
+	}
+	if err := m.checkLost(now, lost, joiner); err != nil {
+		return nil, err
+	}
+	if lost.GetLearner() {
+		return m.members.Without(lost.GetId()).With(asLearner(joiner)), nil
+	}
+	return m.members.With(asLearner(joiner)), nil
+}
+
+// checkLost holds that the identity to be replaced has been silent since before this leader's term or for an election timeout.
+func (m *Machine) checkLost(now time.Time, lost, joiner *wire.ControlMember) error {
+	silent := now.Sub(m.peer(lost.GetId()).heardAt) >= m.timing.Election && now.Sub(m.leadsSince) >= m.timing.Election
+	if lost.GetId() == m.ID() || !silent {
+		return joinError(joiner, fmt.Sprintf("%q at its address was heard lately", lost.GetId()))
+	}
+	return nil
+}
+
+func joinError(joiner *wire.ControlMember, reason string) error {
+	return &JoinError{
+		ID:      joiner.GetId(),
+		Address: joiner.GetAddress(),
+		Reason:  reason,
+	}
+}
+
+func asLearner(member *wire.ControlMember) *wire.ControlMember {
+	return &wire.ControlMember{
+		Id:      member.GetId(),
+		Address: member.GetAddress(),
+		Learner: true,
+	}
+}
+
+func asVoter(member *wire.ControlMember) *wire.ControlMember {
+	return &wire.ControlMember{
+		Id:      member.GetId(),
+		Address: member.GetAddress(),
+	}
+}
+
+// lostAt returns the member of another identity at the joiner's address, or nil.
+func (m Members) lostAt(joiner *wire.ControlMember) *wire.ControlMember {
+	for _, member := range m {
+		if member.GetAddress() == joiner.GetAddress() && member.GetId() != joiner.GetId() {
+			return member
+		}
+	}
+	return nil
+}
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -18,7 +18,7 @@
 }
 
 func (m *Machine) tickLeader(now time.Time) {
-	if !m.mayLead(now) {
+	if !m.mayLead(now) || m.isRemoved() {
 		m.becomeFollower(now, m.Term(), "")
 		return
 	}
@@ -27,6 +27,11 @@
 	}
 }
 
+// isRemoved reports whether a committed membership has taken this instance's vote away.
+func (m *Machine) isRemoved() bool {
+	return !m.members.IsVoter(m.ID()) && !m.changePending()
+}
+
 func (m *Machine) appendOwn(kind wire.EntryKind, payload []byte) uint64 {
 	entry := &wire.JournalEntry{
 		Index:   m.log.LastIndex() + 1,
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/state/applier"
@@ -25,24 +26,32 @@
 	heartbeats  = 5
 	leaseShare  = 0.8
 	snapshotLag = 5000
+	// suffixSize is the length of what sets a new identity apart from the lost one, in characters.
+	suffixSize = 8
 )
 
 // Controller is one running control instance.
 type Controller struct {
 	settings *checker.Control
-	log      logr.Logger
-	store    *storer.Storer
-	machine  *journaler.Machine
-	state    *applier.Applier
-	events   chan event
-	waiting  map[uint64]waiter
-	outboxes map[string]*outbox
-	watchers *watchers
-	applied  uint64
-	server   *listener.Server
-	client   *http.Client
-	stop     chan struct{}
-	done     chan struct{}
+	// id is the identity in the journal, which differs from the settings' name after a lost disk.
+	id        string
+	log       logr.Logger
+	store     *storer.Storer
+	machine   *journaler.Machine
+	state     *applier.Applier
+	events    chan event
+	waiting   map[uint64]waiter
+	outboxes  map[string]*outbox
+	retired   []*outbox
+	watchers  *watchers
+	addresses *addresses
+	joiner    *joiner
+	failure   error
+	applied   uint64
+	server    *listener.Server
+	client    *http.Client
+	stop      chan struct{}
+	done      chan struct{}
 }
 
 type waiter struct {
@@ -70,22 +79,24 @@
 
 // New opens the data folder and starts the instance.
 func New(settings *checker.Control, log logr.Logger) (*Controller, error) {
-	store, saved, err := storer.Open(settings.DataFolder)
+	store, saved, err := open(settings)
 	if err != nil {
 		return nil, fmt.Errorf("control instance %s: %w", settings.Instance, err)
 	}
 	c := &Controller{
-		settings: settings,
-		log:      log.WithName("control").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		store:    store,
-		state:    applier.New(),
-		events:   make(chan event, eventRing),
-		waiting:  map[uint64]waiter{},
-		outboxes: map[string]*outbox{},
-		watchers: newWatchers(),
-		client:   listener.NewClient(),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		settings:  settings,
+		id:        saved.Hard.GetId(),
+		log:       log.WithName("control").WithValues("instance", settings.Instance, "zone", settings.Zone),
+		store:     store,
+		state:     applier.New(),
+		events:    make(chan event, eventRing),
+		waiting:   map[uint64]waiter{},
+		outboxes:  map[string]*outbox{},
+		watchers:  newWatchers(),
+		addresses: newAddresses(settings),
+		client:    listener.NewClient(),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
 	}
 	if err := c.restore(saved); err != nil {
 		return nil, errors.Join(err, store.Close())
@@ -94,24 +105,46 @@
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
-	c.log.Info("started", "address", c.server.Address(), "applied", c.applied, "last-index", c.machine.LastIndex())
+	c.log.Info("started", "identity", c.id, "address", c.server.Address(), "applied", c.applied, "last-index", c.machine.LastIndex())
+	c.joiner = newJoiner(c)
 	go c.run()
+	go c.joiner.run()
 	return c, nil
 }
 
+// open opens the data folder; where it is empty, its disk was lost, and the instance starts under an identity of which nobody remembers a vote.
+func open(settings *checker.Control) (*storer.Storer, journaler.Saved, error) {
+	store, saved, err := storer.Open(settings.DataFolder)
+	if !errors.Is(err, storer.ErrEmpty) {
+		return store, saved, err
+	}
+	if err := storer.FormBlank(settings.DataFolder, settings.Instance+"-"+uuid.NewString()[:suffixSize]); err != nil {
+		return nil, saved, err
+	}
+	return storer.Open(settings.DataFolder)
+}
+
 // Address returns where the instance is served.
 func (c *Controller) Address() string { return c.server.Address() }
 
-// Close ends the instance; what is committed is durable already.
+// Done is closed when the instance has stopped, which it does by itself when its journal cannot be made durable.
+func (c *Controller) Done() <-chan struct{} { return c.done }
+
+// Close ends the instance, and returns why where it had stopped before; what is committed is durable already.
 func (c *Controller) Close() error {
 	c.watchers.close()
 	c.server.Close()
 	close(c.stop)
 	<-c.done
+	<-c.joiner.done
 	for _, o := range c.outboxes {
 		o.close()
 	}
-	return c.store.Close()
+	for _, o := range c.retired {
+		o.close()
+	}
+	c.client.CloseIdleConnections()
+	return errors.Join(c.failure, c.store.Close())
 }
 
 func (c *Controller) handler() http.Handler {
@@ -159,8 +192,8 @@
 		}
 		if err := c.carryOut(); err != nil {
 			c.log.Error(err, "journal could not be made durable; this instance stops")
+			c.failure = err
 			c.failWaiting(errClosed)
-			<-c.stop
 			return
 		}
 	}
@@ -223,6 +256,10 @@
 	if err := c.apply(actions.Committed); err != nil {
 		return err
 	}
+	if c.machine.Role() != journaler.Leader {
+		c.failWaiting(errLeadershipLost)
+	}
+	c.addresses.note(c.machine.Members())
 	c.watchers.publish(c.state.Catalog.Config())
 	return c.compact()
 }
@@ -279,14 +316,18 @@
 }
 
 func (c *Controller) sendTo(message *wire.JournalMessage) {
-	member := c.machine.Members().Find(message.GetTo())
-	if member == nil {
+	address := c.addresses.of(message.GetTo())
+	if address == "" {
 		return
 	}
-	known, ok := c.outboxes[member.GetId()]
-	if !ok || known.address != member.GetAddress() {
-		known = newOutbox(member.GetAddress(), c.client)
-		c.outboxes[member.GetId()] = known
+	known, ok := c.outboxes[message.GetTo()]
+	if ok && known.address != address {
+		known.cancel()
+		c.retired = append(c.retired, known)
+	}
+	if !ok || known.address != address {
+		known = newOutbox(address, c.client)
+		c.outboxes[message.GetTo()] = known
 	}
 	known.push(message)
 }
--- a/internal/transport/controller/outbox.go
+++ b/internal/transport/controller/outbox.go
@@ -23,19 +23,20 @@
 	address string
 	client  wireconnect.JournalServiceClient
 	ring    chan *wire.JournalMessage
-	stop    chan struct{}
+	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
 func newOutbox(address string, client *http.Client) *outbox {
+	ctx, cancel := context.WithCancel(context.Background())
 	o := &outbox{
 		address: address,
 		client:  wireconnect.NewJournalServiceClient(client, "http://"+address),
 		ring:    make(chan *wire.JournalMessage, outboxRing),
-		stop:    make(chan struct{}),
+		cancel:  cancel,
 		done:    make(chan struct{}),
 	}
-	go o.run()
+	go o.run(ctx)
 	return o
 }
 
@@ -47,18 +48,18 @@
 }
 
 func (o *outbox) close() {
-	close(o.stop)
+	o.cancel()
 	<-o.done
 }
 
-func (o *outbox) run() {
+func (o *outbox) run(ctx context.Context) {
 	defer close(o.done)
 	for {
 		select {
-		case <-o.stop:
+		case <-ctx.Done():
 			return
 		case message := <-o.ring:
-			o.deliver(o.gather(message))
+			o.deliver(ctx, o.gather(message))
 		}
 	}
 }
@@ -76,8 +77,8 @@
 	return messages
 }
 
-func (o *outbox) deliver(messages []*wire.JournalMessage) {
-	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
+func (o *outbox) deliver(ctx context.Context, messages []*wire.JournalMessage) {
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	// A lost message is not resent here: the machine's next round replaces it.
 	_, _ = o.client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -21,8 +21,9 @@
 const keepAlive = 500 * time.Millisecond
 
 var (
-	errClosed      = errors.New("this control instance is stopping")
-	errOverwritten = errors.New("another leader took this place in the journal; the command was not committed")
+	errClosed         = errors.New("this control instance is stopping")
+	errLeadershipLost = errors.New("this control instance lost its leadership; whether the command is committed is not known, send it again under the same id")
+	errOverwritten    = errors.New("another leader took this place in the journal; the command was not committed")
 )
 
 type journalService struct {
@@ -113,7 +114,7 @@
 func (s *controlService) Status(ctx context.Context, _ *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
 	c := s.controller
 	status := &wire.StatusResponse{
-		Instance:  c.settings.Instance,
+		Instance:  c.id,
 		Instances: c.watchers.statuses(),
 	}
 	err := c.ask(ctx, func(time.Time) {
@@ -301,13 +302,17 @@
 	var notLeader *journaler.NotLeaderError
 	var intent *cataloger.IntentError
 	var busy *journaler.BusyError
+	var join *journaler.JoinError
+	var pending *journaler.ChangePendingError
 	switch {
 	case errors.As(err, &notLeader):
 		return c.redirect(notLeader)
 	case errors.As(err, &intent):
 		return connect.NewError(connect.CodeInvalidArgument, err)
-	case errors.As(err, &busy):
+	case errors.As(err, &busy), errors.As(err, &pending):
 		return connect.NewError(connect.CodeResourceExhausted, err)
+	case errors.As(err, &join):
+		return connect.NewError(connect.CodePermissionDenied, err)
 	default:
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -316,19 +321,10 @@
 func (c *Controller) redirect(notLeader *journaler.NotLeaderError) error {
 	refusal := connect.NewError(connect.CodeFailedPrecondition, notLeader)
 	detail, err := connect.NewErrorDetail(&wire.NotLeader{
-		LeaderAddress: c.addressOf(notLeader.Leader),
+		LeaderAddress: c.addresses.of(notLeader.Leader),
 	})
 	if err == nil {
 		refusal.AddDetail(detail)
 	}
 	return refusal
 }
-
-func (c *Controller) addressOf(id string) string {
-	for _, member := range c.settings.Members {
-		if member.ID == id {
-			return member.Address
-		}
-	}
-	return ""
-}
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	waitForSignal()
+	waitForSignal(c.Done())
 	return c.Close()
 }
 
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	waitForSignal()
+	waitForSignal(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	return g.Shutdown(ctx)
@@ -116,8 +116,12 @@
 	}
 }
 
-func waitForSignal() {
+// waitForSignal returns when the process is told to stop, or when the instance has stopped by itself.
+func waitForSignal(stopped <-chan struct{}) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case <-signals:
+	case <-stopped:
+	}
 }
--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -55,6 +55,16 @@
 	}, nil)
 }
 
+// FormBlank writes the journal of an instance that knows no membership yet, under an identity that it never had before.
+func FormBlank(folder, id string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	return writeJournal(folder, &wire.HardState{
+		Id: id,
+	}, nil)
+}
+
 // Open reads what the data folder holds, cutting a torn tail, and returns it with the open journal; ErrEmpty where there is none.
 func Open(folder string) (*Storer, journaler.Saved, error) {
 	var saved journaler.Saved
--- a/pkg/wire/wireconnect/journal.connect.go
+++ b/pkg/wire/wireconnect/journal.connect.go
@@ -37,11 +37,14 @@
 const (
 	// JournalServiceDeliverProcedure is the fully-qualified name of the JournalService's Deliver RPC.
 	JournalServiceDeliverProcedure = "/pimentogate.v1.JournalService/Deliver"
+	// JournalServiceJoinProcedure is the fully-qualified name of the JournalService's Join RPC.
+	JournalServiceJoinProcedure = "/pimentogate.v1.JournalService/Join"
 )
 
 // JournalServiceClient is a client for the pimentogate.v1.JournalService service.
 type JournalServiceClient interface {
 	Deliver(context.Context, *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error)
+	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
 }
 
 // NewJournalServiceClient constructs a client for the pimentogate.v1.JournalService service. By
@@ -61,12 +64,19 @@
 			connect.WithSchema(journalServiceMethods.ByName("Deliver")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[wire.JoinRequest, wire.JoinResponse](
+			httpClient,
+			baseURL+JournalServiceJoinProcedure,
+			connect.WithSchema(journalServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // journalServiceClient implements JournalServiceClient.
 type journalServiceClient struct {
 	deliver *connect.Client[wire.DeliverRequest, wire.DeliverResponse]
+	join    *connect.Client[wire.JoinRequest, wire.JoinResponse]
 }
 
 // Deliver calls pimentogate.v1.JournalService.Deliver.
@@ -74,9 +84,15 @@
 	return c.deliver.CallUnary(ctx, req)
 }
 
+// Join calls pimentogate.v1.JournalService.Join.
+func (c *journalServiceClient) Join(ctx context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // JournalServiceHandler is an implementation of the pimentogate.v1.JournalService service.
 type JournalServiceHandler interface {
 	Deliver(context.Context, *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error)
+	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
 }
 
 // NewJournalServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +108,18 @@
 		connect.WithSchema(journalServiceMethods.ByName("Deliver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	journalServiceJoinHandler := connect.NewUnaryHandler(
+		JournalServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(journalServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pimentogate.v1.JournalService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JournalServiceDeliverProcedure:
 			journalServiceDeliverHandler.ServeHTTP(w, r)
+		case JournalServiceJoinProcedure:
+			journalServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +132,7 @@
 func (UnimplementedJournalServiceHandler) Deliver(context.Context, *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.JournalService.Deliver is not implemented"))
 }
+
+func (UnimplementedJournalServiceHandler) Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.JournalService.Join is not implemented"))
+}
