Give each entry instance a metrics registry of its own

Cause: a second entry instance in one process panicked with a duplicate collector, since the reporter registers with the process's registry. Ruled out: one shared scope, which would add instances up. Change: a registry for each meter. Before: loader compare panics at the second instance. After: it runs. Conclusion: instances share nothing, which the tests want too.

--- a/internal/transport/gateway/meter.go
+++ b/internal/transport/gateway/meter.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
@@ -20,7 +21,12 @@
 }
 
 func newMeter() *meter {
-	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
+	// A registry of its own lets several entry instances run in one process.
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "pimentogate",
 		CachedReporter: reporter,
