Add the load tool, and share the bring-up between it and try

Cause: nothing measured the tail under load; the one test that timed queries sent them one after the other and so left out the queues. Ruled out: closed-loop callers (they wait while the tier is slow, so the worst moments are sampled least); child processes started by the tool (a process starts no other). Change: loader compare brings control, entry and stand-in instances up in its process at the customers' sizes and measures policies in turn on one seed; loader drive measures processes that run; loader limit finds where the loader itself falls behind, and each result says so. assembler holds the bring-up that try had.

--- /dev/null
+++ b/cmd/loader/main.go
@@ -0,0 +1,12 @@
+// Command loader measures the tier under an open-loop load.
+package main
+
+import (
+	"os"
+
+	"pimentogate.example/pimentogate/internal/transport/loader"
+)
+
+func main() {
+	os.Exit(loader.NewCommand(os.Stdout, os.Stderr).Run(os.Args[1:]))
+}
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"slices"
+
+	"pimentogate.example/pimentogate/pkg/wire"
 )
 
 // ControlMember is one control instance that the first membership names.
@@ -25,6 +27,18 @@
 	LogLevel          string          `json:"log-level"`
 }
 
+// WireMembers returns the first membership as the journal holds it.
+func (c *Control) WireMembers() []*wire.ControlMember {
+	members := make([]*wire.ControlMember, 0, len(c.Members))
+	for _, member := range c.Members {
+		members = append(members, &wire.ControlMember{
+			Id:      member.ID,
+			Address: member.Address,
+		})
+	}
+	return members
+}
+
 // Entry is the settings of an entry instance.
 type Entry struct {
 	Instance        string   `json:"instance"`
--- /dev/null
+++ b/internal/transport/assembler/ask.go
@@ -0,0 +1,46 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Answer is the part of an entry instance's answer that tells how a request went, and all of it as it came.
+type Answer struct {
+	Outcome       string   `json:"outcome"`
+	Reason        string   `json:"reason"`
+	Coverage      float64  `json:"coverage"`
+	CoverageMet   bool     `json:"coverage-met"`
+	MissingShards []string `json:"missing-shards"`
+	RetryAfterMs  int64    `json:"retry-after-ms"`
+	Status        int      `json:"-"`
+	Body          []byte   `json:"-"`
+}
+
+// Ask sends one request to an entry instance; the action is query or run.
+func Ask(ctx context.Context, client *http.Client, address, service, action, body string) (*Answer, error) {
+	url := fmt.Sprintf("http://%s/v1/services/%s/%s", address, service, action)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return nil, fmt.Errorf("ask: %w", err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask: %w", err)
+	}
+	defer response.Body.Close()
+	answer := &Answer{
+		Status: response.StatusCode,
+	}
+	if answer.Body, err = io.ReadAll(response.Body); err != nil {
+		return nil, fmt.Errorf("ask: %w", err)
+	}
+	if err := json.Unmarshal(answer.Body, answer); err != nil {
+		return nil, fmt.Errorf("answer: %w", err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/transport/loader/reporter.go
@@ -0,0 +1,57 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// reporter prints results: JSON for programs, one object a line, and a table for people.
+type reporter struct {
+	lines   io.Writer
+	table   io.Writer
+	results []Result
+}
+
+func (r *reporter) take(result Result) {
+	r.results = append(r.results, result)
+	encoded, err := json.Marshal(result)
+	if err == nil {
+		fmt.Fprintln(r.lines, string(encoded))
+	}
+}
+
+// close prints the table of every result taken.
+func (r *reporter) close() {
+	w := tabwriter.NewWriter(r.table, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\tservice\tload\toffered/s\tanswered/s\tp50 ms\tp99 ms\tp99.9 ms\tcoverage\twork\topened\trefused\tsend lag p99 ms\t")
+	for _, result := range r.results {
+		fmt.Fprintf(w, "%s\t%s\t%.0f %%\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.5f\t%.3f\t%d\t%s\t%.1f\t\n",
+			result.Policy, result.Service, result.LoadShare*100, result.OfferedPerSecond, result.AnsweredPerSecond,
+			result.P50Ms, result.P99Ms, result.P999Ms, result.Coverage, result.WorkPerAnswer, result.Opened, refusals(result), result.SendLagP99Ms)
+	}
+	_ = w.Flush()
+	for _, result := range r.results {
+		if result.LoaderSaturated {
+			fmt.Fprintf(r.table, "%s, %s: the loader itself was saturated; the latencies are not those of the tier alone\n", result.Policy, result.Service)
+		}
+	}
+}
+
+func refusals(result Result) string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(result.Refused)) {
+		parts = append(parts, fmt.Sprintf("%d %s", result.Refused[reason], reason))
+	}
+	if result.Failures > 0 {
+		parts = append(parts, fmt.Sprintf("%d failed", result.Failures))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -15,7 +15,6 @@
 	"pimentogate.example/pimentogate/internal/transport/gateway"
 	"pimentogate.example/pimentogate/internal/transport/logger"
 	"pimentogate.example/pimentogate/internal/transport/storer"
-	"pimentogate.example/pimentogate/pkg/wire"
 )
 
 // shutdownLimit bounds how long requests in flight are waited for; callers' deadlines are shorter.
@@ -30,18 +29,7 @@
 	if err != nil {
 		return settingsError(*path, err)
 	}
-	return storer.Form(settings.DataFolder, settings.Instance, membersOf(settings))
-}
-
-func membersOf(settings *checker.Control) []*wire.ControlMember {
-	members := make([]*wire.ControlMember, 0, len(settings.Members))
-	for _, member := range settings.Members {
-		members = append(members, &wire.ControlMember{
-			Id:      member.ID,
-			Address: member.Address,
-		})
-	}
-	return members
+	return storer.Form(settings.DataFolder, settings.Instance, settings.WireMembers())
 }
 
 func (o *Operator) control(flags *flag.FlagSet, arguments []string) error {
