Show how each process's log ends where an integration test fails

Cause: TestControlCutOff failed twice in four runs on the busy machine (an entry instance that never answered whole, a stand-in whose record ended early) and nothing told why. Change: a failed test prints the last lines of every process's log. Conclusion: the cause is open; a port taken between its choice and its use by another test process is suspected.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -114,6 +116,7 @@
 			Weight: uint64(i + 1),
 		})
 	}
+	t.Cleanup(f.showLogs)
 	f.placeAll()
 	f.startControls()
 	f.declare()
@@ -350,6 +353,19 @@
 	}
 }
 
+// showLogs prints how the log of each process ends, where the test has failed.
+func (f *fleet) showLogs() {
+	if !f.t.Failed() {
+		return
+	}
+	const lines = 3
+	for _, p := range slices.Concat(f.controls, f.entries, f.standins) {
+		content, _ := os.ReadFile(p.log)
+		last := strings.Split(strings.TrimSpace(string(content)), "\n")
+		f.t.Logf("%s at %s:\n%s", p.name, p.address, strings.Join(last[max(0, len(last)-lines):], "\n"))
+	}
+}
+
 func (p *process) start() {
 	p.t.Helper()
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
