--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -15,7 +15,6 @@
 	"pimentogate.example/pimentogate/internal/transport/gateway"
 	"pimentogate.example/pimentogate/internal/transport/logger"
 	"pimentogate.example/pimentogate/internal/transport/storer"
-	"pimentogate.example/pimentogate/pkg/wire"
 )
 
 // shutdownLimit bounds how long requests in flight are waited for; callers' deadlines are shorter.
@@ -30,18 +29,7 @@
 	if err != nil {
 		return settingsError(*path, err)
 	}
-	return storer.Form(settings.DataFolder, settings.Instance, membersOf(settings))
-}
-
-func membersOf(settings *checker.Control) []*wire.ControlMember {
-	members := make([]*wire.ControlMember, 0, len(settings.Members))
-	for _, member := range settings.Members {
-		members = append(members, &wire.ControlMember{
-			Id:      member.ID,
-			Address: member.Address,
-		})
-	}
-	return members
+	return storer.Form(settings.DataFolder, settings.Instance, settings.WireMembers())
 }
 
 func (o *Operator) control(flags *flag.FlagSet, arguments []string) error {
@@ -57,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	waitForSignal()
+	waitForSignal(c.Done())
 	return c.Close()
 }
 
@@ -74,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	waitForSignal()
+	waitForSignal(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	return g.Shutdown(ctx)
@@ -116,8 +104,12 @@
 	}
 }
 
-func waitForSignal() {
+// waitForSignal returns when the process is told to stop, or when the instance has stopped by itself.
+func waitForSignal(stopped <-chan struct{}) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case <-signals:
+	case <-stopped:
+	}
 }
