Give all replicas of a shard one owner, wherever they are

Cause: with an owner in each replica's availability zone, the two replicas of a shard have two owners, so that no free slot takes what waits for its twin, and a straggler's queue is only left by hedges.

--- a/internal/coordination/router/owners.go
+++ b/internal/coordination/router/owners.go
@@ -10,20 +10,13 @@
 type Instance struct {
 	Name    string
 	Address string
-	Zone    string
 }
 
-// Owners assigns each replica to one entry instance of its availability zone by rendezvous hashing; it is not safe for concurrent use.
+// Owners assigns each replica to one entry instance by rendezvous hashing; it is not safe for concurrent use.
 type Owners struct {
 	self  Instance
-	zones map[string][]Instance
 	all   []Instance
-	known map[ownerKey]Instance
-}
-
-type ownerKey struct {
-	zone  string
-	group string
+	known map[string]Instance
 }
 
 // NewOwners returns an assignment of everything to this instance.
@@ -37,24 +30,16 @@
 
 // Update sets the other instances that take part.
 func (o *Owners) Update(others []Instance) {
-	o.zones = map[string][]Instance{}
 	o.all = append([]Instance{o.self}, others...)
-	for _, i := range o.all {
-		o.zones[i.Zone] = append(o.zones[i.Zone], i)
-	}
-	o.known = map[ownerKey]Instance{}
+	o.known = map[string]Instance{}
 }
 
-// Of returns the replica's owner: an instance of its availability zone, of any where that has none.
+// Of returns the replica's owner, which is the same for the replicas of one shard, wherever they are.
 func (o *Owners) Of(replica *registrar.Replica) Instance {
-	key := ownerKey{
-		zone:  replica.Zone,
-		group: replica.Group,
-	}
-	owner, ok := o.known[key]
+	owner, ok := o.known[replica.Group]
 	if !ok {
-		owner = o.highest(key)
-		o.known[key] = owner
+		owner = o.highest(replica.Group)
+		o.known[replica.Group] = owner
 	}
 	return owner
 }
@@ -62,15 +47,11 @@
 // IsMine reports whether this instance owns the replica.
 func (o *Owners) IsMine(replica *registrar.Replica) bool { return o.Of(replica).Name == o.self.Name }
 
-func (o *Owners) highest(key ownerKey) Instance {
-	candidates := o.zones[key.zone]
-	if len(candidates) == 0 {
-		candidates = o.all
-	}
-	best := candidates[0]
-	bestScore := score(best, key)
-	for _, i := range candidates[1:] {
-		if s := score(i, key); s > bestScore || s == bestScore && i.Name < best.Name {
+func (o *Owners) highest(group string) Instance {
+	best := o.all[0]
+	bestScore := score(best, group)
+	for _, i := range o.all[1:] {
+		if s := score(i, group); s > bestScore || s == bestScore && i.Name < best.Name {
 			best = i
 			bestScore = s
 		}
@@ -78,6 +59,6 @@
 	return best
 }
 
-func score(i Instance, key ownerKey) uint64 {
-	return xxhash.Sum64String(i.Name + "\x00" + key.zone + "\x00" + key.group)
+func score(i Instance, group string) uint64 {
+	return xxhash.Sum64String(i.Name + "\x00" + group)
 }
--- a/internal/transport/gateway/forward.go
+++ b/internal/transport/gateway/forward.go
@@ -143,7 +143,6 @@
 		others = append(others, router.Instance{
 			Name:    m.Instance,
 			Address: m.Address,
-			Zone:    m.Zone,
 		})
 	}
 	g.machine.Owners.Update(others)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -103,7 +103,6 @@
 	g.machine.Owners = router.NewOwners(router.Instance{
 		Name:    settings.Instance,
 		Address: g.peers.Address(),
-		Zone:    settings.Zone,
 	})
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
