Measure what an entry instance costs as a process of its own

Cause: the whole-path benchmark adds caller, entry instance and upstreams up, and the control budget is for a node alone.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -87,7 +87,7 @@
 
 // fleet is the running processes of one test.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	plan     plan
 	folder   string
 	manifest []checker.Shard
@@ -100,7 +100,7 @@
 
 // process is one process with the addresses it serves.
 type process struct {
-	t        *testing.T
+	t        testing.TB
 	name     string
 	zone     string
 	program  string
@@ -113,7 +113,7 @@
 }
 
 // newFleet starts every process and waits until each entry instance answers whole.
-func newFleet(t *testing.T, p plan) *fleet {
+func newFleet(t testing.TB, p plan) *fleet {
 	t.Helper()
 	f := &fleet{
 		t:       t,
@@ -472,7 +472,7 @@
 	return count
 }
 
-func waitFor(t *testing.T, limit time.Duration, what string, ok func() bool) {
+func waitFor(t testing.TB, limit time.Duration, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !ok() {
@@ -483,7 +483,7 @@
 	}
 }
 
-func check(t *testing.T, err error) {
+func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -491,7 +491,7 @@
 }
 
 // freeAddress returns a loopback address whose port was free a moment ago, from below the ports that the kernel gives to outgoing connections.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+(firstPort+int(nextPort.Add(1)))%portCount)
--- a/internal/transport/gateway/meter.go
+++ b/internal/transport/gateway/meter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
@@ -23,6 +24,7 @@
 func newMeter() *meter {
 	// A registry of its own lets several entry instances run in one process.
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
 		Registerer: registry,
 		Gatherer:   registry,
