Name every mistake in a settings file at once, in the order of its lines

Change: what has a wrong type is passed over and the rest is checked; a field that is missing stands on the line of what holds it.

--- a/integration/cost_test.go
+++ b/integration/cost_test.go
@@ -40,6 +40,29 @@
 	}
 }
 
+// BenchmarkQuietProcess gives what a quiet second costs an entry instance, by how many peers it has.
+func BenchmarkQuietProcess(b *testing.B) {
+	const seconds = 3
+	for _, entries := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			f := newFleet(b, plan{
+				controls: 1,
+				entries:  entries,
+				zones:    1,
+				shards:   4,
+				replicas: 2,
+			})
+			e := f.entries[0]
+			for b.Loop() {
+				before := e.metric("process_cpu_seconds_total")
+				time.Sleep(seconds * time.Second)
+				b.ReportMetric((e.metric("process_cpu_seconds_total")-before)*1e6/seconds, "cpu-µs/quiet-second")
+			}
+			b.ReportMetric(e.metric("process_resident_memory_bytes")/(1<<20), "resident-MB")
+		})
+	}
+}
+
 // metric reads one of the entry instance's metrics.
 func (p *process) metric(name string) float64 {
 	p.t.Helper()
--- a/internal/protocol/checker/decode.go
+++ b/internal/protocol/checker/decode.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -68,35 +71,43 @@
 		}
 	}
 	w.walk(&tree, reflect.TypeOf(target).Elem(), "")
-	if len(w.mistakes) > 0 {
-		return w, w.err()
-	}
 	tree.Standardize()
 	w.standard = tree.Pack()
-	if err := json.Unmarshal(w.standard, target); err != nil {
+	// What has a wrong type is passed over, so that the values of the rest are checked too.
+	err = json.Unmarshal(w.standard, target)
+	var wrongType *json.UnmarshalTypeError
+	if err != nil && !errors.As(err, &wrongType) {
 		return w, fmt.Errorf("settings: %w", err)
 	}
 	return w, nil
 }
 
+// err returns the mistakes in the order of their lines.
 func (w *walker) err() error {
 	if len(w.mistakes) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(w.mistakes, func(a, b Mistake) int { return cmp.Compare(a.Line, b.Line) })
 	return &MistakesError{
 		Mistakes: w.mistakes,
 	}
 }
 
-// complain notes a mistake at a field; one that is not in the file stands on line 1.
+// complain notes a mistake at a field, unless the field or what holds it has one already.
 func (w *walker) complain(field, allowed string) {
+	if w.isBlamed(field) {
+		return
+	}
 	at, ok := w.places[field]
 	if !ok {
 		at = place{
-			line:  1,
+			line:  w.places[holderOf(field)].line,
 			value: "nothing",
 		}
 	}
+	if field == "" {
+		field = "file"
+	}
 	w.mistakes = append(w.mistakes, Mistake{
 		Line:    at.line,
 		Field:   field,
@@ -105,6 +116,17 @@
 	})
 }
 
+func (w *walker) isBlamed(field string) bool {
+	return slices.ContainsFunc(w.mistakes, func(m Mistake) bool {
+		return m.Field == field || m.Field == "file" || strings.HasPrefix(field, m.Field+".") || strings.HasPrefix(field, m.Field+"[")
+	})
+}
+
+// holderOf returns the object that holds a field; the whole file has the empty name.
+func holderOf(field string) string {
+	return field[:max(0, strings.LastIndexAny(field, "."))]
+}
+
 func (w *walker) walk(value *hujson.Value, kind reflect.Type, field string) {
 	w.places[field] = place{
 		line:  w.line(value.StartOffset),
--- /dev/null
+++ b/internal/protocol/checker/settings_test.go
@@ -0,0 +1,175 @@
+package checker
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const goodEntry = `{
+	// a comment, and a trailing comma
+	"instance": "entry-1",
+	"zone": "zone-1",
+	"listen-callers": "127.0.0.1:7001",
+	"listen-peers": "127.0.0.1:7002",
+	"control": ["127.0.0.1:7101"],
+}`
+
+const goodControl = `{
+	"instance": "control-1",
+	"zone": "zone-1",
+	"listen": "127.0.0.1:7101",
+	"data-folder": "data",
+	"members": [{"id": "control-1", "address": "127.0.0.1:7101"}],
+}`
+
+const goodStandin = `{
+	"upstream": "replica-1",
+	"zone": "zone-1",
+	"listen": "127.0.0.1:7201",
+	"entries": ["127.0.0.1:7002"],
+	"service": "tenants",
+	"version": 1,
+	"manifest": [{"shard": "a", "weight": 1}],
+	"shards": ["a"],
+	"slots": 2,
+	"connections": 25,
+}`
+
+const badEntry = `{
+	"instance": "",
+	"zone": 4,
+	"listen-callers": "no port",
+	"listen-peers": ["127.0.0.1:7002"],
+	// control is missing
+	"peers": ["127.0.0.1:7002", 7, null],
+	"shutdown-grace-ms": -1.5,
+	"log-level": "loud",
+	"listen": "127.0.0.1:1",
+}`
+
+const wrongEntry = `{
+	"instance": "",
+	"listen-callers": "no port",
+	"listen-peers": "127.0.0.1:7002",
+	"control": ["127.0.0.1"],
+	"shutdown-grace-ms": -1,
+	"log-level": "loud",
+}`
+
+const badControl = `{
+	"instance": "control-1",
+	"zone": "zone-1",
+	"listen": "127.0.0.1:7101",
+	"data-folder": "",
+	"members": [{"id": "", "address": "here"}, {"id": "b", "address": "127.0.0.1:2"}],
+	"election-timeout-ms": 5,
+}`
+
+const wrongControl = `{
+	"instance": true,
+	"members": [{"id": "a", "address": "127.0.0.1:1", "learner": true}, "b"],
+	"election-timeout-ms": "300",
+}`
+
+const badStandin = `{
+	"upstream": "replica-1",
+	"zone": "zone-1",
+	"listen": "127.0.0.1:7201",
+	"advertise": "nowhere",
+	"entries": [],
+	"service": "",
+	"version": 0,
+	"manifest": [],
+	"slots": 0,
+	"connections": 0,
+	"rows-per-shard": -1,
+	"work-ms": -2,
+	"switches": {
+		"versions": [{"version": 0}],
+		"shed-share": 1.5,
+		"straggler-period-ms": -1,
+		"announce-to": ["there"],
+	},
+}`
+
+const wrongStandin = `{
+	"upstream": "replica-1",
+	"slots": -2,
+	"version": 1.5,
+	"manifest": {"shard": "a"},
+	"switches": {"shedding": true, "report-fixed": 1},
+}`
+
+// TestMistakes compares what is said of each wrong file with its golden file; run with -update to write them anew.
+func TestMistakes(t *testing.T) {
+	cases := []struct {
+		name   string
+		source string
+		read   func(path string) error
+	}{
+		{"entry-types", badEntry, readEntry},
+		{"entry-values", wrongEntry, readEntry},
+		{"entry-syntax", `{"instance": "a" "zone": "b"}`, readEntry},
+		{"entry-no-object", `["entry"]`, readEntry},
+		{"control-values", badControl, readControl},
+		{"control-types", wrongControl, readControl},
+		{"standin-values", badStandin, readStandin},
+		{"standin-types", wrongStandin, readStandin},
+	}
+	g := goldie.New(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := c.read(write(t, c.source))
+			var mistakes *MistakesError
+			if !errors.As(err, &mistakes) {
+				t.Fatalf("not a list of mistakes: %v", err)
+			}
+			g.Assert(t, c.name, []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+func TestGoodFilesAndDefaults(t *testing.T) {
+	entry, err := ReadEntry(write(t, goodEntry))
+	if err != nil || entry.ShutdownGraceMs != defaultShutdownGraceMs || entry.LogLevel != defaultLogLevel {
+		t.Errorf("%+v, %v", entry, err)
+	}
+	control, err := ReadControl(write(t, goodControl))
+	if err != nil || control.ElectionTimeoutMs != defaultElectionTimeoutMs || len(control.WireMembers()) != 1 {
+		t.Errorf("%+v, %v", control, err)
+	}
+	if _, err := ReadStandin(write(t, goodStandin)); err != nil {
+		t.Error(err)
+	}
+	if _, err := ReadEntry(filepath.Join(t.TempDir(), "none.json")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
+
+func readEntry(path string) error {
+	_, err := ReadEntry(path)
+	return err
+}
+
+func readControl(path string) error {
+	_, err := ReadControl(path)
+	return err
+}
+
+func readStandin(path string) error {
+	_, err := ReadStandin(path)
+	return err
+}
+
+func write(t *testing.T, source string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(source), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/internal/protocol/checker/switches.go
+++ b/internal/protocol/checker/switches.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return current, err
 	}
+	if err := w.err(); err != nil {
+		return current, err
+	}
 	if err := json.Unmarshal(w.standard, &given); err != nil {
 		return current, fmt.Errorf("switches: %w", err)
 	}
