--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -15,22 +16,35 @@
 	"pimentogate.example/pimentogate/internal/transport/responder"
 )
 
-const leaveLimit = 10 * time.Second
+const (
+	leaveLimit  = 10 * time.Second
+	exitFailure = 1
+	exitUsage   = 2
+)
 
 func main() {
 	path := flag.String("settings", "", "settings file of the stand-in")
+	flag.Usage = func() {
+		fmt.Fprintf(flag.CommandLine.Output(), "standin: run a stand-in upstream\n\nexample: standin -settings replica-1.json\n\nflags:\n")
+		flag.PrintDefaults()
+	}
 	flag.Parse()
-	if err := run(*path); err != nil {
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "standin: argument %q: none is taken\n", flag.Arg(0))
+		os.Exit(exitUsage)
+	}
+	settings, err := checker.ReadStandin(*path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "standin: -settings %q:\n%s\n", *path, err)
+		os.Exit(exitUsage)
+	}
+	if err := run(settings); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
-		os.Exit(1)
+		os.Exit(exitFailure)
 	}
 }
 
-func run(path string) error {
-	settings, err := checker.ReadStandin(path)
-	if err != nil {
-		return err
-	}
+func run(settings *checker.Standin) error {
 	r, err := responder.New(settings, logger.New(os.Stderr, settings.LogLevel))
 	if err != nil {
 		return err
@@ -40,5 +54,9 @@
 	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
-	return r.Leave(ctx)
+	err = r.Leave(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("requests were cut off after %s: %w", leaveLimit, err)
+	}
+	return err
 }
