--- a/internal/protocol/checker/settings_test.go
+++ b/internal/protocol/checker/settings_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -48,7 +50,6 @@
 	"peers": ["127.0.0.1:7002", 7, null],
 	"shutdown-grace-ms": -1.5,
 	"log-level": "loud",
-	"listen": "127.0.0.1:1",
 }`
 
 const wrongEntry = `{
@@ -150,6 +151,20 @@
 	}
 }
 
+func TestUnknownField(t *testing.T) {
+	err := readEntry(write(t, `{"listen": "127.0.0.1:1"}`))
+	var mistakes *MistakesError
+	if !errors.As(err, &mistakes) {
+		t.Fatal(err)
+	}
+	found := slices.ContainsFunc(mistakes.Mistakes, func(m Mistake) bool {
+		return m.Field == "listen" && m.Value == `"127.0.0.1:1"` && strings.HasPrefix(m.Allowed, "one of instance, zone, listen-callers")
+	})
+	if !found {
+		t.Errorf("the unknown field is not named with what is known: %v", err)
+	}
+}
+
 func readEntry(path string) error {
 	_, err := ReadEntry(path)
 	return err
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -95,6 +95,17 @@
 // Plain returns the option with which a service sends replies uncompressed below a size at which compressing pays within a data centre.
 func Plain() connect.HandlerOption { return connect.WithCompressMinBytes(compressFrom) }
 
+// NewSingleClient returns a client that never has more than one connection to an address, opened by dial.
+func NewSingleClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	client := NewClient()
+	transport, ok := client.Transport.(*http.Transport)
+	if ok {
+		transport.DialContext = dial
+		transport.MaxConnsPerHost = 1
+	}
+	return client
+}
+
 // NewClient returns a client for the project's own processes: one multiplexed connection an address.
 func NewClient() *http.Client {
 	return &http.Client{
--- a/internal/transport/sender/once_test.go
+++ b/internal/transport/sender/once_test.go
@@ -199,7 +199,7 @@
 	step := run.Claimed(time.Now(), &wire.ClaimResponse{
 		Verdict: wire.ClaimVerdict_CLAIM_VERDICT_GRANTED,
 	})
-	once := Open(ctx, address)
+	once := newSender().Open(ctx, address)
 	defer once.Close()
 	end := once.Send(ctx, step.Dispatch.Request, func(now time.Time) bool { return run.MayWrite(now.Add(paused)) })
 	return *run.Dispatched(time.Now(), end).Answer
@@ -276,12 +276,12 @@
 	}{
 		{"fresh after the claim", func(address string) {
 			time.Sleep(claimTime)
-			once := Open(b.Context(), address)
+			once := newSender().Open(b.Context(), address)
 			defer once.Close()
 			once.Send(b.Context(), &wire.RunRequest{}, always)
 		}},
 		{"fresh during the claim", func(address string) {
-			once := Open(b.Context(), address)
+			once := newSender().Open(b.Context(), address)
 			defer once.Close()
 			time.Sleep(claimTime)
 			once.Send(b.Context(), &wire.RunRequest{}, always)
@@ -301,3 +301,8 @@
 		})
 	}
 }
+
+// newSender returns a sender that may open one connection for a run beside that for searches.
+func newSender() *Sender {
+	return New(make(chan End), func(context.Context, string) int { return 2 })
+}
