--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -92,9 +92,6 @@
 	_ = s.http.Serve(socket)
 }
 
-// Plain returns the option with which a service sends replies uncompressed below a size at which compressing pays within a data centre.
-func Plain() connect.HandlerOption { return connect.WithCompressMinBytes(compressFrom) }
-
 // NewSingleClient returns a client that never has more than one connection to an address, opened by dial.
 func NewSingleClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	client := NewClient()
@@ -106,6 +103,9 @@
 	return client
 }
 
+// Plain returns the option with which a service sends replies uncompressed below a size at which compressing pays within a data centre.
+func Plain() connect.HandlerOption { return connect.WithCompressMinBytes(compressFrom) }
+
 // NewClient returns a client for the project's own processes: one multiplexed connection an address.
 func NewClient() *http.Client {
 	return &http.Client{
