Show that accepted changes are in force everywhere within 4 s

Cause: no test followed an accepted change to the entry instances while processes are killed. Change: TestConfigurationInForce polls three entry instances under changes, kills the leader and one of them, and holds that the last accepted revision is in force within 4 s and that no answer names a lower revision than one before. Conclusion: the reach is proved, the guard against going back only partly.

--- a/integration/journal_test.go
+++ b/integration/journal_test.go
@@ -229,3 +229,76 @@
 	}
 	f.waitInForce(base + 1)
 }
+
+// revisionLog polls one entry instance, and holds that its answers never go back to a lower revision, also after a restart.
+type revisionLog struct {
+	entry   *process
+	highest atomic.Uint64
+	back    atomic.Uint64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+func newRevisionLog(entry *process) *revisionLog {
+	r := &revisionLog{
+		entry: entry,
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
+	}
+	go r.run()
+	return r
+}
+
+func (r *revisionLog) run() {
+	defer close(r.done)
+	for {
+		select {
+		case <-r.stop:
+			return
+		default:
+		}
+		answer, status := r.entry.query("log", 300)
+		if status == 0 || answer.ConfigRevision == 0 {
+			continue
+		}
+		if answer.ConfigRevision < r.highest.Load() {
+			r.back.Add(1)
+		}
+		r.highest.Store(max(r.highest.Load(), answer.ConfigRevision))
+	}
+}
+
+func TestConfigurationInForce(t *testing.T) {
+	f := newFleet(t, plan{
+		controls: 3,
+		entries:  3,
+		zones:    3,
+		shards:   1,
+		replicas: 1,
+	})
+	var logs []*revisionLog
+	for _, e := range f.entries {
+		logs = append(logs, newRevisionLog(e))
+	}
+	changes := newChanger(f)
+	changes.waitMore(t, "at the start")
+	f.entries[0].kill()
+	leader := f.leader()
+	leader.kill()
+	changes.waitMore(t, "after an entry instance and the leader were killed")
+	f.entries[0].start()
+	leader.start()
+	changes.waitMore(t, "after both came back")
+	changes.end()
+	accepted := changes.accepted.Load()
+	at := time.Now()
+	for _, r := range logs {
+		waitFor(t, inForceLimit, fmt.Sprintf("revision %d is in force at %s", accepted, r.entry.name), func() bool { return r.highest.Load() >= accepted })
+		close(r.stop)
+		<-r.done
+		if back := r.back.Load(); back > 0 {
+			t.Errorf("%s went back to a lower revision %d times", r.entry.name, back)
+		}
+	}
+	t.Logf("revision %d of %d accepted changes was in force everywhere within %s", accepted, changes.count.Load(), time.Since(at))
+}
