State intents, plans and status in kebab case, and change control instances by plans

Cause: intents and plans were protobuf's JSON in camel case, an unknown field was named without its line or what is allowed, a forgotten field counted as 0; add-control and remove-control were refused; status printed messages of each instance. Change: intents and plans are JSON with comments in kebab case, read by the settings' strict decoder; plans state what they set before and after; the configuration holds added and removed control instances and the leader's membership follows it step by step; status is one table, or -json.

--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -73,7 +73,7 @@
 				return answer.Outcome == "answered"
 			})
 			c.back(leader)
-			f.change(fmt.Sprintf(`{"setTenantLimit": {"tenant": %q, "requestsPerSecond": 100, "burst": 10}}`, c.name))
+			f.change(fmt.Sprintf(`{"set-tenant-limit": {"tenant": %q, "requests-per-second": 100, "burst": 10}}`, c.name))
 		})
 	}
 	for _, e := range f.entries {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -316,7 +316,7 @@
 	check(f.t, err)
 	f.change(fmt.Sprintf(`{
 		// what the tests ask
-		"declareService": {"name": %q, "shards": %s, "coverageMillionths": 1000000, "timeoutMs": 1000},
+		"declare-service": {"name": %q, "shards": %s, "coverage": 1, "timeout-ms": 1000},
 	}`, service, shards))
 }
 
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -2,18 +2,21 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"pimentogate.example/pimentogate/internal/state/cataloger"
+	"pimentogate.example/pimentogate/internal/state/journaler"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-// New returns the plan of an intent against the configuration, or the intent's mistake; nothing changes.
-func New(config *wire.Config, intent *wire.Intent) (*wire.Plan, error) {
+// New returns the plan of an intent against the configuration and the control instances, or the intent's mistake; nothing changes.
+func New(config *wire.Config, members journaler.Members, intent *wire.Intent) (*wire.Plan, error) {
+	intent = withAddress(intent, members)
 	next, err := cataloger.Change(config, intent)
 	if err != nil {
 		return nil, err
 	}
-	return &wire.Plan{
+	plan := &wire.Plan{
 		Intent:   intent,
 		Revision: config.GetRevision(),
 		Digest:   cataloger.Digest(intent, config.GetRevision()),
@@ -21,5 +24,166 @@
 			cataloger.Summary(intent),
 			fmt.Sprintf("put revision %d in force on every entry instance", next.GetRevision()),
 		},
-	}, nil
+	}
+	if err := planControl(plan, members, intent); err != nil {
+		return nil, err
+	}
+	plan.Effects = append(plan.Effects, settingEffects(config, next, intent)...)
+	return plan, nil
+}
+
+// withAddress completes the removal of a control instance by its address, since the configuration knows instances that joined later by just that.
+func withAddress(intent *wire.Intent, members journaler.Members) *wire.Intent {
+	removed := members.Find(intent.GetRemoveControl().GetId())
+	if removed == nil {
+		return intent
+	}
+	return &wire.Intent{
+		Change: &wire.Intent_RemoveControl{
+			RemoveControl: &wire.ControlMember{
+				Id:      removed.GetId(),
+				Address: removed.GetAddress(),
+			},
+		},
+	}
+}
+
+// planControl adds what becomes of the control instances.
+func planControl(plan *wire.Plan, members journaler.Members, intent *wire.Intent) error {
+	after := members
+	switch change := intent.GetChange().(type) {
+	case *wire.Intent_AddControl:
+		added := change.AddControl
+		if err := checkAdded(members, added); err != nil {
+			return err
+		}
+		plan.Steps = append(plan.Steps,
+			"wait until an instance with an empty data folder asks to join from "+added.GetAddress(),
+			"give it a vote once it holds all that is committed")
+		after = members.With(added)
+	case *wire.Intent_RemoveControl:
+		removed := change.RemoveControl
+		if err := checkRemoved(members, removed); err != nil {
+			return err
+		}
+		plan.Steps = append(plan.Steps, "take the vote of "+removed.GetId()+" away; then stop its process")
+		after = members.Without(removed.GetId())
+	default:
+		return nil
+	}
+	plan.Effects = append(plan.Effects,
+		effect("control", "instances with a vote", members.Voters(), after.Voters()),
+		effect("control", "losses that are tolerated", members.Tolerated(), after.Tolerated()))
+	if after.Voters()%2 == 0 {
+		plan.Warnings = append(plan.Warnings, fmt.Sprintf("%d instances with a vote tolerate no more losses than %d; change one more", after.Voters(), after.Voters()-1))
+	}
+	return nil
+}
+
+func checkAdded(members journaler.Members, added *wire.ControlMember) error {
+	for _, member := range members {
+		if member.GetId() == added.GetId() {
+			return &cataloger.IntentError{
+				Field:  "add-control.id",
+				Value:  added.GetId(),
+				Reason: "is a control instance already",
+			}
+		}
+		if member.GetAddress() == added.GetAddress() {
+			return &cataloger.IntentError{
+				Field:  "add-control.address",
+				Value:  added.GetAddress(),
+				Reason: "is that of control instance " + member.GetId(),
+			}
+		}
+	}
+	return nil
+}
+
+func checkRemoved(members journaler.Members, removed *wire.ControlMember) error {
+	if members.Find(removed.GetId()) == nil {
+		return &cataloger.IntentError{
+			Field:  "remove-control.id",
+			Value:  removed.GetId(),
+			Reason: "is no control instance; pimentogate status lists them",
+		}
+	}
+	if members.IsVoter(removed.GetId()) && members.Voters() == 1 {
+		return &cataloger.IntentError{
+			Field:  "remove-control.id",
+			Value:  removed.GetId(),
+			Reason: "is the last instance with a vote",
+		}
+	}
+	return nil
+}
+
+// settingEffects returns the figures that the intent itself sets, before and after.
+func settingEffects(config, next *wire.Config, intent *wire.Intent) []*wire.Effect {
+	switch change := intent.GetChange().(type) {
+	case *wire.Intent_DeclareService:
+		return serviceEffects(config, next, change.DeclareService.GetName())
+	case *wire.Intent_ChangeService:
+		return serviceEffects(config, next, change.ChangeService.GetName())
+	case *wire.Intent_SetTenantLimit:
+		name := change.SetTenantLimit.GetTenant()
+		before, after := cataloger.FindTenant(config, name), cataloger.FindTenant(next, name)
+		return []*wire.Effect{
+			effect("tenant "+name, "requests-per-second", before.GetRequestsPerSecond(), after.GetRequestsPerSecond()),
+			effect("tenant "+name, "burst", before.GetBurst(), after.GetBurst()),
+		}
+	case *wire.Intent_SetUpstreamLimit:
+		return upstreamEffects(config, next, change.SetUpstreamLimit.GetUpstream())
+	case *wire.Intent_SetUpstreamWeight:
+		return upstreamEffects(config, next, change.SetUpstreamWeight.GetUpstream())
+	case *wire.Intent_SetUpstreamDrain:
+		return upstreamEffects(config, next, change.SetUpstreamDrain.GetUpstream())
+	case *wire.Intent_SetZoneDrain:
+		zone := change.SetZoneDrain.GetZone()
+		return []*wire.Effect{
+			effect("availability zone "+zone, "drained", cataloger.ZoneDrained(config, zone), cataloger.ZoneDrained(next, zone)),
+		}
+	default:
+		return nil
+	}
+}
+
+func serviceEffects(config, next *wire.Config, name string) []*wire.Effect {
+	before, after := cataloger.FindService(config, name), cataloger.FindService(next, name)
+	subject := "service " + name
+	return []*wire.Effect{
+		effect(subject, "shards", len(before.GetShards()), len(after.GetShards())),
+		effect(subject, "coverage", share(before.GetCoverageMillionths()), share(after.GetCoverageMillionths())),
+		effect(subject, "timeout-ms", before.GetTimeoutMs(), after.GetTimeoutMs()),
+	}
+}
+
+func upstreamEffects(config, next *wire.Config, name string) []*wire.Effect {
+	before, after := cataloger.FindUpstream(config, name), cataloger.FindUpstream(next, name)
+	subject := "upstream " + name
+	return []*wire.Effect{
+		effect(subject, "connections", asSet(before.GetConnections()), asSet(after.GetConnections())),
+		effect(subject, "slots", asSet(before.GetSlots()), asSet(after.GetSlots())),
+		effect(subject, "weight-percent", asSet(before.GetWeightPercent()), asSet(after.GetWeightPercent())),
+		effect(subject, "drained", before.GetDrained(), after.GetDrained()),
+	}
+}
+
+// asSet names the absence of an operator's setting, where the upstream's own announcement holds.
+func asSet(value uint32) string {
+	if value == 0 {
+		return "as announced"
+	}
+	return strconv.FormatUint(uint64(value), 10)
+}
+
+func share(millionths uint32) float64 { return float64(millionths) / wire.CoverageWhole }
+
+func effect(subject, figure string, before, after any) *wire.Effect {
+	return &wire.Effect{
+		Subject: subject,
+		Figure:  figure,
+		Before:  fmt.Sprint(before),
+		After:   fmt.Sprint(after),
+	}
 }
--- a/internal/state/cataloger/change.go
+++ b/internal/state/cataloger/change.go
@@ -67,11 +67,10 @@
 		})
 	case *wire.Intent_SetZoneDrain:
 		return setZone(c, change.SetZoneDrain)
-	case *wire.Intent_AddControl, *wire.Intent_RemoveControl:
-		return &IntentError{
-			Field:  "change",
-			Reason: "control instances are not changed through the catalog",
-		}
+	case *wire.Intent_AddControl:
+		return setControl(c, change.AddControl, false)
+	case *wire.Intent_RemoveControl:
+		return setControl(c, change.RemoveControl, true)
 	default:
 		return &IntentError{
 			Field:  "change",
@@ -187,6 +186,16 @@
 	return nil
 }
 
+// FindTenant returns what operators have set for the tenant, or nil.
+func FindTenant(config *wire.Config, name string) *wire.TenantLimit {
+	for _, tenant := range config.GetTenants() {
+		if tenant.GetTenant() == name {
+			return tenant
+		}
+	}
+	return nil
+}
+
 // FindUpstream returns what operators have set for the upstream, or nil.
 func FindUpstream(config *wire.Config, name string) *wire.UpstreamSetting {
 	for _, upstream := range config.GetUpstreams() {
@@ -236,6 +245,32 @@
 	return nil
 }
 
+func setControl(c *wire.Config, member *wire.ControlMember, removed bool) error {
+	if member.GetId() == "" {
+		return &IntentError{
+			Field:  "id",
+			Reason: "must not be empty",
+		}
+	}
+	if !removed && member.GetAddress() == "" {
+		return &IntentError{
+			Field:  "address",
+			Reason: "must not be empty",
+		}
+	}
+	// An instance that joined under a new identity is removed by that, so its address ends the setting that added it.
+	c.Controls = slices.DeleteFunc(c.Controls, func(s *wire.ControlSetting) bool {
+		return s.GetId() == member.GetId() || (!s.GetRemoved() && s.GetAddress() == member.GetAddress())
+	})
+	c.Controls = append(c.Controls, &wire.ControlSetting{
+		Id:      member.GetId(),
+		Address: member.GetAddress(),
+		Removed: removed,
+	})
+	slices.SortFunc(c.Controls, func(a, b *wire.ControlSetting) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return nil
+}
+
 // Summary returns one line that says what an intent changes.
 func Summary(intent *wire.Intent) string {
 	switch change := intent.GetChange().(type) {
--- a/internal/state/journaler/join.go
+++ b/internal/state/journaler/join.go
@@ -149,6 +149,37 @@
 	}
 }
 
+// Follow takes the next membership step towards what operators have set: an instance that they added is a learner until it joins, and one that they removed leaves.
+func (m *Machine) Follow(now time.Time, settings []*wire.ControlSetting) {
+	if m.role != Leader || m.changePending() {
+		return
+	}
+	for _, setting := range settings {
+		if next := m.members.after(setting); next != nil {
+			_, _, _ = m.ProposeMembers(now, next)
+			return
+		}
+	}
+}
+
+// after returns the membership that the setting asks for, or nil where it is in force.
+func (m Members) after(setting *wire.ControlSetting) Members {
+	if setting.GetRemoved() {
+		if m.Find(setting.GetId()) == nil || m.IsVoter(setting.GetId()) && m.Voters() == 1 {
+			return nil
+		}
+		return m.Without(setting.GetId())
+	}
+	added := &wire.ControlMember{
+		Id:      setting.GetId(),
+		Address: setting.GetAddress(),
+	}
+	if m.Find(added.GetId()) != nil || m.lostAt(added) != nil {
+		return nil
+	}
+	return m.With(asLearner(added))
+}
+
 // lostAt returns the member of another identity at the joiner's address, or nil.
 func (m Members) lostAt(joiner *wire.ControlMember) *wire.ControlMember {
 	for _, member := range m {
--- a/internal/state/journaler/members.go
+++ b/internal/state/journaler/members.go
@@ -27,7 +27,12 @@
 
 // Quorum returns how many voters a majority takes.
 func (m Members) Quorum() int {
-	return m.voters()/2 + 1
+	return m.Voters()/2 + 1
+}
+
+// Tolerated returns how many voters can be lost while the others are still a majority.
+func (m Members) Tolerated() int {
+	return m.Voters() - m.Quorum()
 }
 
 // HasQuorum reports whether the voters for which ok holds are a majority.
@@ -57,7 +62,8 @@
 	return kept
 }
 
-func (m Members) voters() int {
+// Voters returns how many members have a vote.
+func (m Members) Voters() int {
 	count := 0
 	for _, member := range m {
 		if !member.GetLearner() {
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -187,6 +187,7 @@
 			return
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
+			c.machine.Follow(time.Now(), c.state.Catalog.Config().GetControls())
 		case e := <-c.events:
 			c.takeBatch(e)
 		}
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -52,11 +52,11 @@
 // Plan says what an intent would do and changes nothing.
 func (s *controlService) Plan(ctx context.Context, request *connect.Request[wire.PlanRequest]) (*connect.Response[wire.PlanResponse], error) {
 	c := s.controller
-	config, err := c.leaderConfig(ctx)
+	config, members, err := c.leaderConfig(ctx)
 	if err != nil {
 		return nil, c.refusal(err)
 	}
-	plan, err := planner.New(config, request.Msg.GetIntent())
+	plan, err := planner.New(config, members, request.Msg.GetIntent())
 	if err != nil {
 		return nil, c.refusal(err)
 	}
@@ -216,24 +216,26 @@
 	return contact, err
 }
 
-func (c *Controller) leaderConfig(ctx context.Context) (*wire.Config, error) {
+func (c *Controller) leaderConfig(ctx context.Context) (*wire.Config, journaler.Members, error) {
 	var config *wire.Config
+	var members journaler.Members
 	var leader string
 	err := c.ask(ctx, func(now time.Time) {
 		leader = c.machine.Leader()
 		if c.machine.LeaseHolds(now) {
 			config = c.state.Catalog.Config()
+			members = c.machine.Members()
 		}
 	})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if config == nil {
-		return nil, &journaler.NotLeaderError{
+		return nil, nil, &journaler.NotLeaderError{
 			Leader: leader,
 		}
 	}
-	return config, nil
+	return config, members, nil
 }
 
 // command commits a command to the journal and returns what it came to.
--- a/internal/transport/operator/changes.go
+++ b/internal/transport/operator/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -12,10 +13,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
-	"github.com/tailscale/hujson"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
+	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/gateway"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
@@ -32,8 +31,8 @@
 	if err := parse(flags, arguments, 1); err != nil {
 		return err
 	}
-	intent := &wire.Intent{}
-	if err := readMessage(flags.Arg(0), intent); err != nil {
+	intent, err := readFile(flags.Arg(0), checker.DecodeIntent)
+	if err != nil {
 		return err
 	}
 	response, err := callControl(*control, func(ctx context.Context, client wireconnect.ControlServiceClient) (*connect.Response[wire.PlanResponse], error) {
@@ -44,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	return o.printMessage(response.GetPlan())
+	return o.printJSON(checker.PlanOf(response.GetPlan()))
 }
 
 func (o *Operator) confirm(flags *flag.FlagSet, arguments []string) error {
@@ -53,8 +52,8 @@
 	if err := parse(flags, arguments, 1); err != nil {
 		return err
 	}
-	plan := &wire.Plan{}
-	if err := readMessage(flags.Arg(0), plan); err != nil {
+	plan, err := readFile(flags.Arg(0), checker.DecodePlan)
+	if err != nil {
 		return err
 	}
 	if *id == "" {
@@ -71,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("%w; send it again with -id %s", err, *id)
 	}
-	if err := o.printMessage(response); err != nil {
+	if err := o.printJSON(checker.ConfirmedOf(*id, response)); err != nil {
 		return err
 	}
 	if !response.GetAccepted() {
@@ -80,55 +79,27 @@
 	return nil
 }
 
-func (o *Operator) status(flags *flag.FlagSet, arguments []string) error {
-	control := controlFlag(flags)
-	if err := parse(flags, arguments, 0); err != nil {
-		return err
-	}
-	reached := 0
-	for _, address := range strings.Split(*control, ",") {
-		response, err := callControl(address, func(ctx context.Context, client wireconnect.ControlServiceClient) (*connect.Response[wire.StatusResponse], error) {
-			return client.Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
-		})
-		if err != nil {
-			fmt.Fprintf(o.errOut, "control instance at %s: %s\n", address, err)
-			continue
-		}
-		reached++
-		if err := o.printMessage(response); err != nil {
-			return err
-		}
-	}
-	if reached == 0 {
-		return errors.New("no control instance answered")
-	}
-	return nil
-}
-
 func callControl[T any](addresses string, call func(context.Context, wireconnect.ControlServiceClient) (*connect.Response[T], error)) (*T, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	return gateway.CallLeader(ctx, gateway.NewControlClient(strings.Split(addresses, ",")), call)
 }
 
-// readMessage reads a message from a file of JSON with comments, or from standard input for "-".
-func readMessage(path string, message proto.Message) error {
+// readFile reads a file of JSON with comments, or standard input for "-".
+func readFile[T any](path string, decode func([]byte) (*T, error)) (*T, error) {
 	source, err := readInput(path)
 	if err != nil {
-		return err
-	}
-	standard, err := hujson.Standardize(source)
-	if err != nil {
-		return &UsageError{
+		return nil, &UsageError{
 			Reason: fmt.Sprintf("%s: %s", path, err),
 		}
 	}
-	if err := protojson.Unmarshal(standard, message); err != nil {
-		return &UsageError{
-			Reason: fmt.Sprintf("%s: %s", path, err),
+	decoded, err := decode(source)
+	if err != nil {
+		return nil, &UsageError{
+			Reason: fmt.Sprintf("%s:\n%s", path, err),
 		}
 	}
-	return nil
+	return decoded, nil
 }
 
 func readInput(path string) ([]byte, error) {
@@ -138,14 +109,11 @@
 	return os.ReadFile(path)
 }
 
-func (o *Operator) printMessage(message proto.Message) error {
-	encoded, err := protojson.MarshalOptions{
-		Multiline:     true,
-		UseProtoNames: true,
-	}.Marshal(message)
-	if err != nil {
+func (o *Operator) printJSON(value any) error {
+	encoder := json.NewEncoder(o.out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
 		return fmt.Errorf("print: %w", err)
 	}
-	_, err = fmt.Fprintln(o.out, string(encoded))
-	return err
+	return nil
 }
--- /dev/null
+++ b/internal/transport/operator/status.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
+)
+
+// controlStatus is what one control instance says of itself.
+type controlStatus struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Role     string `json:"role"`
+	Term     uint64 `json:"term"`
+	Revision uint64 `json:"revision"`
+	Commit   uint64 `json:"commit"`
+	Applied  uint64 `json:"applied"`
+	Error    string `json:"error,omitempty"`
+}
+
+// entryStatus is where one entry instance stands, as the control instance that it watches saw it last.
+type entryStatus struct {
+	Instance  string `json:"instance"`
+	Zone      string `json:"zone"`
+	Revision  uint64 `json:"revision"`
+	InForce   bool   `json:"in-force"`
+	SeenMsAgo uint64 `json:"seen-ms-ago"`
+}
+
+// fleetStatus is the printed status.
+type fleetStatus struct {
+	Revision uint64          `json:"revision"`
+	InForce  int             `json:"in-force"`
+	Leader   string          `json:"leader"`
+	Controls []controlStatus `json:"controls"`
+	Entries  []entryStatus   `json:"entries"`
+}
+
+func (o *Operator) status(flags *flag.FlagSet, arguments []string) error {
+	control := controlFlag(flags)
+	asJSON := flags.Bool("json", false, "print JSON for programs in place of a table")
+	if err := parse(flags, arguments, 0); err != nil {
+		return err
+	}
+	gathered, reached := gatherStatus(strings.Split(*control, ","))
+	if reached == 0 {
+		return errors.New("no control instance answered")
+	}
+	if *asJSON {
+		return o.printJSON(gathered)
+	}
+	return o.printStatus(gathered)
+}
+
+// gatherStatus asks every control instance, and returns how many answered.
+func gatherStatus(addresses []string) (fleetStatus, int) {
+	gathered := fleetStatus{
+		Controls: []controlStatus{},
+		Entries:  []entryStatus{},
+	}
+	newest := map[string]*wire.InstanceStatus{}
+	term := uint64(0)
+	reached := 0
+	for _, address := range addresses {
+		response, err := callControl(address, func(ctx context.Context, client wireconnect.ControlServiceClient) (*connect.Response[wire.StatusResponse], error) {
+			return client.Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
+		})
+		if err != nil {
+			gathered.Controls = append(gathered.Controls, controlStatus{
+				Address: address,
+				Role:    "silent",
+				Error:   err.Error(),
+			})
+			continue
+		}
+		reached++
+		gathered.Controls = append(gathered.Controls, controlOf(address, response))
+		gathered.Revision = max(gathered.Revision, response.GetRevision())
+		if response.GetLeader() != "" && response.GetTerm() >= term {
+			term = response.GetTerm()
+			gathered.Leader = response.GetLeader()
+		}
+		for _, entry := range response.GetInstances() {
+			known, ok := newest[entry.GetInstance()]
+			if !ok || entry.GetSeenMsAgo() < known.GetSeenMsAgo() {
+				newest[entry.GetInstance()] = entry
+			}
+		}
+	}
+	gathered.addEntries(newest)
+	return gathered, reached
+}
+
+func controlOf(address string, response *wire.StatusResponse) controlStatus {
+	return controlStatus{
+		Instance: response.GetInstance(),
+		Address:  address,
+		Role:     roleOf(response),
+		Term:     response.GetTerm(),
+		Revision: response.GetRevision(),
+		Commit:   response.GetCommit(),
+		Applied:  response.GetApplied(),
+	}
+}
+
+func roleOf(response *wire.StatusResponse) string {
+	if response.GetLeader() == response.GetInstance() {
+		return "leader"
+	}
+	for _, member := range response.GetMembers() {
+		if member.GetId() == response.GetInstance() && member.GetLearner() {
+			return "learner"
+		}
+		if member.GetId() == response.GetInstance() {
+			return "follower"
+		}
+	}
+	return "no member"
+}
+
+func (s *fleetStatus) addEntries(newest map[string]*wire.InstanceStatus) {
+	for _, entry := range newest {
+		inForce := entry.GetRevision() == s.Revision
+		if inForce {
+			s.InForce++
+		}
+		s.Entries = append(s.Entries, entryStatus{
+			Instance:  entry.GetInstance(),
+			Zone:      entry.GetZone(),
+			Revision:  entry.GetRevision(),
+			InForce:   inForce,
+			SeenMsAgo: entry.GetSeenMsAgo(),
+		})
+	}
+	slices.SortFunc(s.Entries, func(a, b entryStatus) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Instance, b.Instance))
+	})
+}
+
+func (o *Operator) printStatus(s fleetStatus) error {
+	fmt.Fprintf(o.out, "revision %d, in force at %d of %d entry instances; leader %s\n\n", s.Revision, s.InForce, len(s.Entries), s.Leader)
+	table := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CONTROL\tADDRESS\tROLE\tTERM\tREVISION\tCOMMIT\tAPPLIED")
+	for _, c := range s.Controls {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", c.Instance, c.Address, c.Role, c.Term, c.Revision, c.Commit, c.Applied)
+	}
+	fmt.Fprintln(table, "\nENTRY\tZONE\tREVISION\tIN FORCE\tSEEN")
+	for _, e := range s.Entries {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%t\t%d ms ago\n", e.Instance, e.Zone, e.Revision, e.InForce, e.SeenMsAgo)
+	}
+	return table.Flush()
+}
