--- a/internal/transport/responder/work.go
+++ b/internal/transport/responder/work.go
@@ -70,7 +70,10 @@
 		return err
 	}
 	if ask.GetService() != r.settings.Service || !holds(r.board.get().Versions, ask.GetVersion(), ask.GetShard()) {
-		return refusal("not held here", false, 0)
+		return refusal(&wire.NotStarted{
+			Reason:  "not held here",
+			NotHeld: true,
+		})
 	}
 	return nil
 }
@@ -85,11 +88,18 @@
 func (r *Responder) turnAway() error {
 	s := r.board.get()
 	if r.leaving.Load() || s.LeavingRefused {
-		return refusal("leaving", true, s.RetryAfterMs)
+		return refusal(&wire.NotStarted{
+			Reason:       "leaving",
+			RetryAfterMs: s.RetryAfterMs,
+			Leaving:      true,
+		})
 	}
 	full := s.ShedAboveQueued > 0 && r.load.queued() >= s.ShedAboveQueued
 	if full || r.board.hit(s.ShedShare) {
-		return refusal("shedding", false, s.RetryAfterMs)
+		return refusal(&wire.NotStarted{
+			Reason:       "shedding",
+			RetryAfterMs: s.RetryAfterMs,
+		})
 	}
 	return nil
 }
@@ -199,13 +209,9 @@
 }
 
 // refusal is the stand-in's word that it started nothing.
-func refusal(reason string, leaving bool, retryAfterMs uint32) error {
-	refused := connect.NewError(connect.CodeUnavailable, errors.New(reason))
-	detail, err := connect.NewErrorDetail(&wire.NotStarted{
-		Reason:       reason,
-		RetryAfterMs: retryAfterMs,
-		Leaving:      leaving,
-	})
+func refusal(word *wire.NotStarted) error {
+	refused := connect.NewError(connect.CodeUnavailable, errors.New(word.GetReason()))
+	detail, err := connect.NewErrorDetail(word)
 	if err == nil {
 		refused.AddDetail(detail)
 	}
--- a/internal/transport/sender/once.go
+++ b/internal/transport/sender/once.go
@@ -28,13 +28,14 @@
 
 // Once is one fresh connection, over which at most one request is written and nothing is ever resent.
 type Once struct {
-	address string
-	conn    net.Conn
-	err     error
-	cancel  context.CancelFunc
-	state   atomic.Int32
-	taken   atomic.Bool
-	opened  chan struct{}
+	connections *Connections
+	address     string
+	conn        net.Conn
+	err         error
+	cancel      context.CancelFunc
+	state       atomic.Int32
+	taken       atomic.Bool
+	opened      chan struct{}
 }
 
 const (
@@ -44,12 +45,13 @@
 )
 
 // Open starts to open the connection, and writes nothing.
-func Open(ctx context.Context, address string) *Once {
+func (s *Sender) Open(ctx context.Context, address string) *Once {
 	ctx, cancel := context.WithTimeout(ctx, onceDialTimeout)
 	o := &Once{
-		address: address,
-		cancel:  cancel,
-		opened:  make(chan struct{}),
+		connections: s.Connections,
+		address:     address,
+		cancel:      cancel,
+		opened:      make(chan struct{}),
 	}
 	go o.run(ctx)
 	return o
@@ -57,7 +59,7 @@
 
 func (o *Once) run(ctx context.Context) {
 	defer close(o.opened)
-	o.conn, o.err = (&net.Dialer{}).DialContext(ctx, "tcp", o.address)
+	o.conn, o.err = o.connections.dialRun(ctx, "tcp", o.address)
 }
 
 // Close gives the connection up, and forbids any later write.
