--- a/integration/versions_test.go
+++ b/integration/versions_test.go
@@ -171,7 +171,7 @@
 	}
 	names, err := json.Marshal(shardNames(wideShards))
 	check(t, err)
-	f.change(fmt.Sprintf(`{"changeService": {"name": %q, "shards": %s, "coverageMillionths": 1000000, "timeoutMs": 1000}}`, service, names))
+	f.change(fmt.Sprintf(`{"change-service": {"name": %q, "shards": %s, "coverage": 1, "timeout-ms": 1000}}`, service, names))
 	manifests := map[uint64][]checker.Shard{
 		1: f.manifest,
 		2: wide,
--- a/integration/zones_test.go
+++ b/integration/zones_test.go
@@ -84,7 +84,7 @@
 		f.cut(peer.name, c.name)
 	}
 	f.cut(peer.name, restarted.name)
-	f.change(`{"setTenantLimit": {"tenant": "t", "requestsPerSecond": 100, "burst": 10}}`)
+	f.change(`{"set-tenant-limit": {"tenant": "t", "requests-per-second": 100, "burst": 10}}`)
 	waitFor(t, readyLimit, "the newer revision", func() bool {
 		answer, _ := restarted.query("newer", 500)
 		return answer.ConfigRevision == 2
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -50,7 +50,7 @@
 
 // planControl adds what becomes of the control instances.
 func planControl(plan *wire.Plan, members journaler.Members, intent *wire.Intent) error {
-	after := members
+	var after journaler.Members
 	switch change := intent.GetChange().(type) {
 	case *wire.Intent_AddControl:
 		added := change.AddControl
