State in plans what becomes of coverage and capacity

Cause: a plan told the revision and nothing of what would happen to the data covered, the slots and the connections; control knew nothing of upstreams. Ruled out: asking entry instances from the command line, and sending heartbeats to control (docs/design/plans.md). Change: entry instances sum up their upstreams in the watch stream, at most every 2 s, only when changed and 4,096 at most; the leader gathers one summary an availability zone from all control instances; the planner works out coverage, replicas, slots and connections before and after, and warns where a stated coverage would be missed. Before: TestEveryIntent's plan has no figure 'covered by upstreams' (waits 20 s for it). After: TestPlanFigures, TestPlanWithoutReports, TestPlanControlMistakes, TestSummaryIsBounded and TestEveryIntent pass; the whole suite is green (integration 94 s). Conclusion: drains and limits show their figures before they are confirmed; at 23,000 replicas the summary is too small, and says so.

--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 
 	"pimentogate.example/pimentogate/internal/state/cataloger"
@@ -9,8 +10,8 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-// New returns the plan of an intent against the configuration and the control instances, or the intent's mistake; nothing changes.
-func New(config *wire.Config, members journaler.Members, intent *wire.Intent) (*wire.Plan, error) {
+// New returns the plan of an intent against the configuration, the control instances and the upstreams, or the intent's mistake; nothing changes.
+func New(config *wire.Config, members journaler.Members, fleet Fleet, intent *wire.Intent) (*wire.Plan, error) {
 	intent = withAddress(intent, members)
 	next, err := cataloger.Change(config, intent)
 	if err != nil {
@@ -29,9 +30,58 @@
 		return nil, err
 	}
 	plan.Effects = append(plan.Effects, settingEffects(config, next, intent)...)
+	if movesWork(intent) {
+		planStrength(plan, fleet, config, next)
+	}
 	return plan, nil
 }
 
+// movesWork reports whether an intent changes what upstreams do for services.
+func movesWork(intent *wire.Intent) bool {
+	switch intent.GetChange().(type) {
+	case *wire.Intent_SetTenantLimit, *wire.Intent_AddControl, *wire.Intent_RemoveControl:
+		return false
+	default:
+		return true
+	}
+}
+
+// planStrength adds what becomes of coverage and capacity, and warns where a service's stated coverage would be missed.
+func planStrength(plan *wire.Plan, fleet Fleet, config, next *wire.Config) {
+	if len(fleet.upstreams) == 0 && len(next.GetServices()) > 0 {
+		plan.Warnings = append(plan.Warnings, "no entry instance has told of any upstream: figures of coverage and capacity are missing")
+		return
+	}
+	if fleet.leftOut > 0 {
+		plan.Warnings = append(plan.Warnings, fmt.Sprintf("%d upstreams did not fit into the entry instances' summaries: figures of coverage and capacity are too low", fleet.leftOut))
+	}
+	for _, service := range next.GetServices() {
+		known := cataloger.FindService(config, service.GetName())
+		after := fleet.Strength(next, service)
+		var before Strength
+		if known != nil {
+			before = fleet.Strength(config, known)
+		}
+		plan.Effects = append(plan.Effects, strengthEffects("service "+service.GetName(), before, after)...)
+		if after.Coverage < service.GetCoverageMillionths() && (before != after || known.GetCoverageMillionths() != service.GetCoverageMillionths()) {
+			plan.Warnings = append(plan.Warnings, fmt.Sprintf("service %s: upstreams would cover %g of the data, below the stated %g",
+				service.GetName(), share(after.Coverage), share(service.GetCoverageMillionths())))
+		}
+	}
+}
+
+// strengthEffects returns the figures that change.
+func strengthEffects(subject string, before, after Strength) []*wire.Effect {
+	figures := []*wire.Effect{
+		effect(subject, "covered by upstreams", share(before.Coverage), share(after.Coverage)),
+		effect(subject, "replicas that take work", before.Replicas, after.Replicas),
+		effect(subject, "replicas of the weakest shard", before.FewestReplicas, after.FewestReplicas),
+		effect(subject, "slots", before.Slots, after.Slots),
+		effect(subject, "connections", before.Connections, after.Connections),
+	}
+	return slices.DeleteFunc(figures, func(e *wire.Effect) bool { return e.GetBefore() == e.GetAfter() })
+}
+
 // withAddress completes the removal of a control instance by its address, since the configuration knows instances that joined later by just that.
 func withAddress(intent *wire.Intent, members journaler.Members) *wire.Intent {
 	removed := members.Find(intent.GetRemoveControl().GetId())
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, c.refusal(err)
 	}
-	plan, err := planner.New(config, members, request.Msg.GetIntent())
+	plan, err := planner.New(config, members, planner.NewFleet(c.upstreams(ctx, members)), request.Msg.GetIntent())
 	if err != nil {
 		return nil, c.refusal(err)
 	}
@@ -158,7 +158,7 @@
 			w.received <- err
 			return
 		}
-		w.controller.watchers.note(request.GetInstance(), request.GetZone(), request.GetRevision())
+		w.controller.watchers.note(request)
 	}
 }
 
--- a/internal/transport/controller/watchers.go
+++ b/internal/transport/controller/watchers.go
@@ -7,6 +7,9 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
+// summaryLife is how long what an entry instance said of the upstreams is used after it was heard last.
+const summaryLife = 5 * time.Second
+
 // watchers is the configuration as the streams see it, and who watches.
 type watchers struct {
 	mutex   sync.Mutex
@@ -20,6 +23,7 @@
 	zone     string
 	revision uint64
 	at       time.Time
+	summary  *wire.UpstreamSummary
 }
 
 func newWatchers() *watchers {
@@ -59,16 +63,39 @@
 	return w.config, w.changed, w.closed
 }
 
-func (w *watchers) note(instance, zone string, revision uint64) {
+func (w *watchers) note(request *wire.WatchRequest) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.seen[instance] = &watcherState{
-		zone:     zone,
-		revision: revision,
+	summary := request.GetSummary()
+	if known, ok := w.seen[request.GetInstance()]; ok && summary == nil {
+		summary = known.summary
+	}
+	w.seen[request.GetInstance()] = &watcherState{
+		zone:     request.GetZone(),
+		revision: request.GetRevision(),
 		at:       time.Now(),
+		summary:  summary,
 	}
 }
 
+// summaries returns what the entry instances that were heard lately say of the upstreams, one an availability zone.
+func (w *watchers) summaries() []*wire.UpstreamSummary {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	newest := map[string]*watcherState{}
+	for _, state := range w.seen {
+		known, ok := newest[state.zone]
+		if state.summary != nil && time.Since(state.at) < summaryLife && (!ok || state.at.After(known.at)) {
+			newest[state.zone] = state
+		}
+	}
+	var list []*wire.UpstreamSummary
+	for _, state := range newest {
+		list = append(list, state.summary)
+	}
+	return list
+}
+
 func (w *watchers) statuses() []*wire.InstanceStatus {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/transport/gateway/watcher.go
+++ b/internal/transport/gateway/watcher.go
@@ -64,7 +64,10 @@
 	defer silence.Stop()
 	stream := w.gateway.control.at(address).Watch(ctx)
 	defer func() { _ = stream.CloseResponse() }()
-	if stream.Send(w.position()) != nil {
+	summaries := &summarizer{
+		gateway: w.gateway,
+	}
+	if stream.Send(w.position(summaries)) != nil {
 		return
 	}
 	for {
@@ -75,19 +78,20 @@
 		silence.Reset(contactLimit)
 		w.gateway.configure(response.GetConfig())
 		w.heardAt.Store(time.Now().UnixMilli())
-		if stream.Send(w.position()) != nil {
+		if stream.Send(w.position(summaries)) != nil {
 			return
 		}
 	}
 }
 
-func (w *watcher) position() *wire.WatchRequest {
+func (w *watcher) position(summaries *summarizer) *wire.WatchRequest {
 	request := &wire.WatchRequest{
 		Instance: w.gateway.settings.Instance,
 		Zone:     w.gateway.settings.Zone,
 	}
-	_ = w.gateway.ask(context.Background(), func(time.Time) {
+	_ = w.gateway.ask(context.Background(), func(now time.Time) {
 		request.Revision = w.gateway.machine.Config().GetRevision()
+		request.Summary = summaries.changed(now)
 	})
 	return request
 }
--- a/pkg/wire/wireconnect/control.connect.go
+++ b/pkg/wire/wireconnect/control.connect.go
@@ -47,6 +47,9 @@
 	ControlServiceRecordProcedure = "/pimentogate.v1.ControlService/Record"
 	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
 	ControlServiceWatchProcedure = "/pimentogate.v1.ControlService/Watch"
+	// ControlServiceUpstreamsProcedure is the fully-qualified name of the ControlService's Upstreams
+	// RPC.
+	ControlServiceUpstreamsProcedure = "/pimentogate.v1.ControlService/Upstreams"
 	// ControlServiceReportProcedure is the fully-qualified name of the ControlService's Report RPC.
 	ControlServiceReportProcedure = "/pimentogate.v1.ControlService/Report"
 	// ControlServiceHandOverProcedure is the fully-qualified name of the ControlService's HandOver RPC.
@@ -61,6 +64,7 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	Record(context.Context, *connect.Request[wire.RecordRequest]) (*connect.Response[wire.RecordResponse], error)
 	Watch(context.Context) *connect.BidiStreamForClient[wire.WatchRequest, wire.WatchResponse]
+	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	HandOver(context.Context, *connect.Request[wire.HandOverRequest]) (*connect.Response[wire.HandOverResponse], error)
 }
@@ -112,6 +116,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		upstreams: connect.NewClient[wire.UpstreamsRequest, wire.UpstreamsResponse](
+			httpClient,
+			baseURL+ControlServiceUpstreamsProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Upstreams")),
+			connect.WithClientOptions(opts...),
+		),
 		report: connect.NewClient[wire.ReportRequest, wire.ReportResponse](
 			httpClient,
 			baseURL+ControlServiceReportProcedure,
@@ -129,14 +139,15 @@
 
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
-	plan     *connect.Client[wire.PlanRequest, wire.PlanResponse]
-	confirm  *connect.Client[wire.ConfirmRequest, wire.ConfirmResponse]
-	status   *connect.Client[wire.StatusRequest, wire.StatusResponse]
-	claim    *connect.Client[wire.ClaimRequest, wire.ClaimResponse]
-	record   *connect.Client[wire.RecordRequest, wire.RecordResponse]
-	watch    *connect.Client[wire.WatchRequest, wire.WatchResponse]
-	report   *connect.Client[wire.ReportRequest, wire.ReportResponse]
-	handOver *connect.Client[wire.HandOverRequest, wire.HandOverResponse]
+	plan      *connect.Client[wire.PlanRequest, wire.PlanResponse]
+	confirm   *connect.Client[wire.ConfirmRequest, wire.ConfirmResponse]
+	status    *connect.Client[wire.StatusRequest, wire.StatusResponse]
+	claim     *connect.Client[wire.ClaimRequest, wire.ClaimResponse]
+	record    *connect.Client[wire.RecordRequest, wire.RecordResponse]
+	watch     *connect.Client[wire.WatchRequest, wire.WatchResponse]
+	upstreams *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
+	report    *connect.Client[wire.ReportRequest, wire.ReportResponse]
+	handOver  *connect.Client[wire.HandOverRequest, wire.HandOverResponse]
 }
 
 // Plan calls pimentogate.v1.ControlService.Plan.
@@ -169,6 +180,11 @@
 	return c.watch.CallBidiStream(ctx)
 }
 
+// Upstreams calls pimentogate.v1.ControlService.Upstreams.
+func (c *controlServiceClient) Upstreams(ctx context.Context, req *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
+	return c.upstreams.CallUnary(ctx, req)
+}
+
 // Report calls pimentogate.v1.ControlService.Report.
 func (c *controlServiceClient) Report(ctx context.Context, req *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
 	return c.report.CallUnary(ctx, req)
@@ -187,6 +203,7 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	Record(context.Context, *connect.Request[wire.RecordRequest]) (*connect.Response[wire.RecordResponse], error)
 	Watch(context.Context, *connect.BidiStream[wire.WatchRequest, wire.WatchResponse]) error
+	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	HandOver(context.Context, *connect.Request[wire.HandOverRequest]) (*connect.Response[wire.HandOverResponse], error)
 }
@@ -234,6 +251,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceUpstreamsHandler := connect.NewUnaryHandler(
+		ControlServiceUpstreamsProcedure,
+		svc.Upstreams,
+		connect.WithSchema(controlServiceMethods.ByName("Upstreams")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceReportHandler := connect.NewUnaryHandler(
 		ControlServiceReportProcedure,
 		svc.Report,
@@ -260,6 +283,8 @@
 			controlServiceRecordHandler.ServeHTTP(w, r)
 		case ControlServiceWatchProcedure:
 			controlServiceWatchHandler.ServeHTTP(w, r)
+		case ControlServiceUpstreamsProcedure:
+			controlServiceUpstreamsHandler.ServeHTTP(w, r)
 		case ControlServiceReportProcedure:
 			controlServiceReportHandler.ServeHTTP(w, r)
 		case ControlServiceHandOverProcedure:
@@ -297,6 +322,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.ControlService.Watch is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.ControlService.Upstreams is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.ControlService.Report is not implemented"))
 }
