--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -38,6 +38,7 @@
 	waiting  map[uint64]waiter
 	outboxes map[string]*outbox
 	watchers *watchers
+	pending  pending
 	applied  uint64
 	server   *listener.Server
 	client   *http.Client
@@ -104,6 +105,7 @@
 
 // Close ends the instance; what is committed is durable already.
 func (c *Controller) Close() error {
+	c.drain()
 	c.watchers.close()
 	c.server.Close()
 	close(c.stop)
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -237,6 +237,10 @@
 
 // command commits a command to the journal and returns what it came to.
 func (c *Controller) command(ctx context.Context, command *wire.Command) (applier.Result, error) {
+	if !c.pending.begin() {
+		return applier.Result{}, errClosed
+	}
+	defer c.pending.end()
 	command.TimeMs = time.Now().UnixMilli()
 	payload, err := proto.Marshal(command)
 	if err != nil {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -47,9 +47,12 @@
 	lastQuery atomic.Uint64
 	lastRun   atomic.Uint64
 	// revision is the configuration in force, floor the newest one that was in force here in an earlier life.
-	revision  atomic.Uint64
-	floor     atomic.Uint64
-	leaving   atomic.Bool
+	revision atomic.Uint64
+	floor    atomic.Uint64
+	leaving  atomic.Bool
+	// learned says that a peer has told what it knows of upstreams, sharing that connections may be opened.
+	learned   atomic.Bool
+	sharing   atomic.Bool
 	startedAt time.Time
 	callers   *listener.Server
 	peers     *listener.Server
--- a/internal/transport/gateway/membership.go
+++ b/internal/transport/gateway/membership.go
@@ -44,7 +44,9 @@
 		g.tracker.Renew()
 		g.log.Info("fenced: no contact with a majority of the entry instances")
 	}
-	if after := g.share.Of(now, shareSample); after != before {
+	after := g.share.Of(now, shareSample)
+	g.sharing.Store(after > 0)
+	if after != before {
 		g.log.Info("connection share", "of", shareSample, "before", before, "after", after)
 	}
 }
@@ -72,8 +74,8 @@
 	return allowed
 }
 
-// takeAnswer takes a peer's answer, which was made after sentAt and may have taken all the time since, and returns the peer's name.
-func (g *Gateway) takeAnswer(sentAt time.Time, address string, response *wire.ExchangeResponse) string {
+// takeAnswer takes a peer's answer, which was made after sentAt and may have taken all the time since.
+func (g *Gateway) takeAnswer(sentAt time.Time, address string, response *wire.ExchangeResponse) {
 	instance := response.GetSender().GetInstance()
 	_ = g.ask(context.Background(), func(now time.Time) {
 		waited := uint32(now.Sub(sentAt) / time.Millisecond)
@@ -87,7 +89,6 @@
 	})
 	// What peers remember of this instance comes before the configuration, so that it never goes back.
 	g.configure(response.GetConfig())
-	return instance
 }
 
 // hear takes what a peer says of members.
--- a/internal/transport/gateway/meter.go
+++ b/internal/transport/gateway/meter.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -17,11 +18,12 @@
 type meter struct {
 	scope    tally.Scope
 	reporter tallyprometheus.Reporter
+	closer   io.Closer
 }
 
 func newMeter() *meter {
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "pimentogate",
 		CachedReporter: reporter,
 		Separator:      tallyprometheus.DefaultSeparator,
@@ -29,9 +31,12 @@
 	return &meter{
 		scope:    scope,
 		reporter: reporter,
+		closer:   closer,
 	}
 }
 
+func (m *meter) close() { _ = m.closer.Close() }
+
 func (m *meter) handler() http.Handler { return m.reporter.HTTPHandler() }
 
 func (m *meter) attempt(kind gatherer.AttemptKind) {
--- a/internal/transport/gateway/shutdown.go
+++ b/internal/transport/gateway/shutdown.go
@@ -31,7 +31,11 @@
 	return g.watcher.wasHeard() || time.Since(g.startedAt) >= peersWait
 }
 
-func (g *Gateway) isReady() bool { return g.isConfigured() && !g.leaving.Load() }
+// isReady reports whether a balancer may send callers here.
+func (g *Gateway) isReady() bool {
+	hasLearned := g.learned.Load() || time.Since(g.startedAt) >= peersWait
+	return g.isConfigured() && hasLearned && g.sharing.Load() && !g.leaving.Load()
+}
 
 // guard refuses callers before there is a configuration, and tells their connections to close while this instance leaves.
 func (g *Gateway) guard(next http.Handler) http.Handler {
@@ -88,6 +92,8 @@
 		g.log.Info("shutdown: calls of peers were cut off", "error", err.Error())
 	}
 	g.sender.Close()
+	g.control.http.CloseIdleConnections()
+	g.meter.close()
 	close(g.stop)
 }
 
--- a/internal/transport/gateway/spreader.go
+++ b/internal/transport/gateway/spreader.go
@@ -206,13 +206,30 @@
 func (w *exchanger) run() {
 	defer close(w.done)
 	for e := range w.spreader.calls {
-		instance := w.exchange(e)
-		w.spreader.settle(e.address, instance)
+		w.spreader.settle(e.address, w.repeat(e))
 	}
 }
 
-// exchange tells a peer the news, takes what it answers, and returns its name, or nothing where it did not answer.
-func (w *exchanger) exchange(e exchange) string {
+// repeat exchanges until the peer has nothing left to repair, and returns its name, or nothing where it did not answer.
+func (w *exchanger) repeat(e exchange) string {
+	for {
+		response := w.exchange(e)
+		if response == nil {
+			return ""
+		}
+		if !e.repair {
+			return response.GetSender().GetInstance()
+		}
+		if len(response.GetAnnouncements()) < repairLimit {
+			w.spreader.gateway.learned.Store(true)
+			return response.GetSender().GetInstance()
+		}
+		e.batch = batch{}
+	}
+}
+
+// exchange tells a peer the news, takes what it answers, and returns it, or nil where it did not answer.
+func (w *exchanger) exchange(e exchange) *wire.ExchangeResponse {
 	g := w.spreader.gateway
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
@@ -229,9 +246,10 @@
 	client := wireconnect.NewPeerServiceClient(w.spreader.client, "http://"+e.address)
 	response, err := client.Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
-		return ""
+		return nil
 	}
-	return g.takeAnswer(sentAt, e.address, response.Msg)
+	g.takeAnswer(sentAt, e.address, response.Msg)
+	return response.Msg
 }
 
 // request ages the batch by the time it has waited here.
