--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -59,6 +59,7 @@
 	spreader  *spreader
 	watcher   *watcher
 	concluder *concluder
+	decisions *decisionLog
 	stopOnce  sync.Once
 	// closing ends the parts that speak to other instances, stop the loop after them.
 	closing chan struct{}
@@ -80,7 +81,7 @@
 	g := &Gateway{
 		settings:  settings,
 		log:       log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		machine:   gatherer.New(registrar.New(), router.New(random), firstAttempt),
+		machine:   gatherer.New(registrar.New(), router.New(policyOf(settings), random), firstAttempt),
 		share:     limiter.NewShare(time.Now(), len(settings.Peers)),
 		control:   NewControlClient(settings.Control),
 		meter:     newMeter(),
@@ -101,7 +102,9 @@
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.concluder = newConcluder(g)
+	g.decisions = newDecisionLog(g.log, g.meter.scope.Counter("decision_lines_lost"))
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
+	go g.decisions.run()
 	go g.run()
 	go g.spreader.run()
 	go g.watcher.run()
@@ -109,6 +112,14 @@
 	return g, nil
 }
 
+// policyOf returns the routing policy that the settings name.
+func policyOf(settings *checker.Entry) router.Policy {
+	if settings.RoutingPolicy == "" {
+		return router.TwoChoices
+	}
+	return router.Policy(settings.RoutingPolicy)
+}
+
 // CallersAddress returns where callers are served.
 func (g *Gateway) CallersAddress() string { return g.callers.Address() }
 
@@ -127,10 +138,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewAnnouncementServiceHandler(&announcementService{
 		gateway: g,
-	}))
+	}, listener.Plain()))
 	mux.Handle(wireconnect.NewPeerServiceHandler(&peerService{
 		gateway: g,
-	}))
+	}, listener.Plain()))
 	g.peers, err = listener.New(g.settings.ListenPeers, mux)
 	if err != nil {
 		g.callers.Close()
@@ -176,22 +187,29 @@
 		return
 	}
 	g.machine.Fail(now, end.Attempt, gatherer.Failure{
-		Shed:    end.NotStarted != nil && !end.NotStarted.GetLeaving(),
+		Shed:    end.NotStarted != nil && !end.NotStarted.GetLeaving() && !end.NotStarted.GetNotHeld(),
+		NotHeld: end.NotStarted.GetNotHeld(),
 		Leaving: end.NotStarted.GetLeaving(),
 	})
 }
 
 func (g *Gateway) carryOut() {
 	actions := g.machine.Take()
-	for _, send := range actions.Sends {
-		g.log.V(1).Info("routed", "query", send.Query, "attempt", send.Request.GetAttempt(), "kind", send.Kind,
-			"service", send.Request.GetService(), "shard", send.Request.GetShard(), "version", send.Request.GetVersion(), "upstream", send.Upstream)
-		g.meter.attempt(send.Kind)
-		g.sender.Search(send.Address, send.Request, send.Deadline)
-	}
 	for _, attempt := range actions.Cancels {
 		g.sender.Cancel(attempt)
 	}
+	for i := range actions.Restarts {
+		g.decisions.note(decision{
+			restart: &actions.Restarts[i],
+		})
+	}
+	for i, send := range actions.Sends {
+		g.decisions.note(decision{
+			send: &actions.Sends[i],
+		})
+		g.meter.attempt(send.Kind)
+		g.sender.Search(send.Address, send.Request, send.Deadline)
+	}
 	for _, answer := range actions.Answers {
 		g.hand(answer)
 	}
@@ -253,9 +271,9 @@
 }
 
 func (g *Gateway) abandon(id uint64) {
-	_ = g.ask(context.Background(), func(time.Time) {
+	_ = g.ask(context.Background(), func(now time.Time) {
 		delete(g.waiting, id)
-		g.machine.Abandon(id)
+		g.machine.Abandon(now, id)
 	})
 }
 
--- a/internal/transport/gateway/shutdown.go
+++ b/internal/transport/gateway/shutdown.go
@@ -95,6 +95,8 @@
 	g.control.http.CloseIdleConnections()
 	g.meter.close()
 	close(g.stop)
+	<-g.done
+	g.decisions.close()
 }
 
 // tellLeaving queues a call to every peer, which the spreader makes before it ends.
