--- a/internal/coordination/limiter/share_test.go
+++ b/internal/coordination/limiter/share_test.go
@@ -249,7 +249,7 @@
 			f.instances[1].isUp = false
 			f.begin(f.instances[2])
 		}, 10, map[string]int{"entry-0": 3, "entry-2": 3}},
-		{"four lost for good", func(f *fleet) {
+		{"three lost for good", func(f *fleet) {
 			for _, i := range f.instances[:3] {
 				i.isUp = false
 			}
--- a/internal/coordination/registrar/manifests.go
+++ b/internal/coordination/registrar/manifests.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// share returns the announcement with manifests that are known already in place of its own, so that each is kept once.
+func (m *manifests) share(ann *wire.Announcement) *wire.Announcement {
+	shared := contentOnly(ann)
+	shared.Incarnation = ann.GetIncarnation()
+	shared.Sequence = ann.GetSequence()
+	shared.Leaving = ann.GetLeaving()
+	shared.LeaseMs = ann.GetLeaseMs()
+	shared.Manifests = nil
+	for _, manifest := range ann.GetManifests() {
+		if known := m.find(keyOfManifest(manifest), manifest); known != nil {
+			manifest = known.manifest
+		}
+		shared.Manifests = append(shared.Manifests, manifest)
+	}
+	return shared
+}
+
 func (m *manifests) find(key manifestKey, manifest *wire.Manifest) *variant {
 	for _, known := range m.variants[key] {
 		if known.manifest == manifest || proto.Equal(known.manifest, manifest) {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -224,6 +224,7 @@
 	}
 	known, ok := r.records[ann.GetUpstream()]
 	if !ok {
+		next.announcement = r.manifests.share(ann)
 		r.keep(next, func() { r.records[ann.GetUpstream()] = next }, direct)
 		return true
 	}
@@ -238,6 +239,7 @@
 		r.news.add(ann.GetUpstream(), false, direct)
 		return true
 	}
+	next.announcement = r.manifests.share(ann)
 	r.change(known, func() { *known = *next })
 	r.watch(known)
 	r.news.add(ann.GetUpstream(), true, direct)
