--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,6 +82,8 @@
 	replicas int
 	version  uint64
 	workMs   float64
+	// policy is the entry instances' routing-policy.
+	policy string
 	// links puts a proxy between every pair of processes that speak.
 	links bool
 }
@@ -212,7 +215,9 @@
 		ListenCallers:   e.callers,
 		ListenPeers:     e.address,
 		Peers:           []string{},
+		ListedPeersOnly: f.plan.links,
 		ShutdownGraceMs: 200,
+		RoutingPolicy:   cmp.Or(f.plan.policy, "two-choices"),
 		LogLevel:        "debug",
 	}
 	for _, c := range f.controls {
@@ -512,7 +517,7 @@
 	waitFor(f.t, readyLimit, "a control instance leads", func() bool {
 		for _, c := range f.controls {
 			status := c.status()
-			if status.GetLeader() == c.name {
+			if status.GetInstance() != "" && status.GetLeader() == status.GetInstance() {
 				found = c
 				return true
 			}
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
+
+	"pimentogate.example/pimentogate/pkg/wire"
 )
 
 // ControlMember is one control instance that the first membership names.
@@ -23,16 +27,31 @@
 	LogLevel          string          `json:"log-level"`
 }
 
+// WireMembers returns the first membership as the journal holds it.
+func (c *Control) WireMembers() []*wire.ControlMember {
+	members := make([]*wire.ControlMember, 0, len(c.Members))
+	for _, member := range c.Members {
+		members = append(members, &wire.ControlMember{
+			Id:      member.ID,
+			Address: member.Address,
+		})
+	}
+	return members
+}
+
 // Entry is the settings of an entry instance.
 type Entry struct {
-	Instance        string   `json:"instance"`
-	Zone            string   `json:"zone"`
-	ListenCallers   string   `json:"listen-callers"`
-	ListenPeers     string   `json:"listen-peers"`
-	Control         []string `json:"control"`
-	Peers           []string `json:"peers"`
-	ShutdownGraceMs int64    `json:"shutdown-grace-ms"`
-	LogLevel        string   `json:"log-level"`
+	Instance      string   `json:"instance"`
+	Zone          string   `json:"zone"`
+	ListenCallers string   `json:"listen-callers"`
+	ListenPeers   string   `json:"listen-peers"`
+	Control       []string `json:"control"`
+	Peers         []string `json:"peers"`
+	// ListedPeersOnly says that members which other peers name are not called.
+	ListedPeersOnly bool   `json:"listed-peers-only"`
+	ShutdownGraceMs int64  `json:"shutdown-grace-ms"`
+	RoutingPolicy   string `json:"routing-policy"`
+	LogLevel        string `json:"log-level"`
 }
 
 // Shard is one shard of a stand-in's index.
@@ -56,17 +75,24 @@
 	Connections  uint32   `json:"connections"`
 	RowsPerShard int64    `json:"rows-per-shard"`
 	WorkMs       float64  `json:"work-ms"`
+	Seed         uint64   `json:"seed"`
 	LogLevel     string   `json:"log-level"`
+	// Switches are how the stand-in behaves from its start.
+	Switches *Switches `json:"switches,omitempty"`
 }
 
 const (
 	defaultElectionTimeoutMs = 300
 	defaultShutdownGraceMs   = 1000
+	defaultRoutingPolicy     = "two-choices"
 	defaultLogLevel          = "info"
 
 	allowedAddress = "an address as host:port"
 )
 
+// routingPolicies are the names that an entry instance's routing-policy may take.
+var routingPolicies = []string{"round-robin", "two-choices", "owner"}
+
 // ReadControl reads and checks the settings of a control instance; mistakes come as a MistakesError.
 func ReadControl(path string) (*Control, error) {
 	settings := &Control{
@@ -80,6 +106,7 @@
 func ReadEntry(path string) (*Entry, error) {
 	settings := &Entry{
 		ShutdownGraceMs: defaultShutdownGraceMs,
+		RoutingPolicy:   defaultRoutingPolicy,
 		LogLevel:        defaultLogLevel,
 	}
 	return read(path, settings, checkEntry)
@@ -131,6 +158,7 @@
 	w.needAddresses("control", s.Control)
 	w.need("control", len(s.Control) > 0, "at least one address of a control instance")
 	w.needAddresses("peers", s.Peers)
+	w.need("routing-policy", slices.Contains(routingPolicies, s.RoutingPolicy), `"round-robin", "two-choices" or "owner"`)
 	w.need("shutdown-grace-ms", s.ShutdownGraceMs >= 0, "0 or more")
 	w.needLogLevel(s.LogLevel)
 }
@@ -150,6 +178,9 @@
 	w.need("rows-per-shard", s.RowsPerShard >= 0, "0 or more")
 	w.need("work-ms", s.WorkMs >= 0, "0 or more")
 	w.needLogLevel(s.LogLevel)
+	if s.Switches != nil {
+		checkSwitches(w, "switches", s.Switches)
+	}
 }
 
 func (w *walker) need(field string, ok bool, allowed string) {
@@ -158,6 +189,19 @@
 	}
 }
 
+// needShares complains about shares outside 0 to 1, in the order of their names.
+func (w *walker) needShares(field string, shares map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
+		w.need(join(field, name), shares[name] >= 0 && shares[name] <= 1, "from 0 to 1")
+	}
+}
+
+func (w *walker) needPositive(field string, values map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		w.need(join(field, name), values[name] >= 0, "0 or more")
+	}
+}
+
 func (w *walker) needText(field, value string) {
 	w.need(field, value != "", "a string that is not empty")
 }
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 
+	"pimentogate.example/pimentogate/internal/coordination/registrar"
 	"pimentogate.example/pimentogate/internal/coordination/runner"
 	"pimentogate.example/pimentogate/internal/protocol/parser"
 	"pimentogate.example/pimentogate/internal/state/cataloger"
@@ -101,18 +103,17 @@
 		chosen.wait = time.Second
 		return chosen
 	}
-	chosen.targets = g.chooseTargets(request.Service)
+	chosen.targets = g.chooseTargets(now, request.Service)
 	return chosen
 }
 
 // chooseTargets returns different upstreams in the order in which they are to be tried.
-func (g *Gateway) chooseTargets(service string) []runner.Target {
-	holders := g.machine.Registrar.Holders(service)
-	var tried []string
+func (g *Gateway) chooseTargets(now time.Time, service string) []runner.Target {
+	holders := slices.Clone(g.machine.Registrar.Holders(service))
 	var targets []runner.Target
 	for range min(len(holders), runner.MaxTargets) {
-		replica := g.machine.Router.Pick(holders, tried)
-		tried = append(tried, replica.Upstream)
+		replica := g.machine.Router.Pick(now, holders)
+		holders = slices.DeleteFunc(holders, func(other *registrar.Replica) bool { return other == replica })
 		targets = append(targets, runner.Target{
 			Upstream: replica.Upstream,
 			Address:  replica.Address,
@@ -131,7 +132,7 @@
 
 func (d *driver) drive(ctx context.Context, targets []runner.Target) runner.Answer {
 	if len(targets) > 0 {
-		d.early = sender.Open(ctx, targets[0].Address)
+		d.early = d.gateway.sender.Open(ctx, targets[0].Address)
 	}
 	step := d.run.Start(time.Now())
 	for step.Answer == nil {
@@ -172,7 +173,7 @@
 	once := d.early
 	d.early = nil
 	if once == nil {
-		once = sender.Open(ctx, dispatch.Target.Address)
+		once = d.gateway.sender.Open(ctx, dispatch.Target.Address)
 	}
 	defer once.Close()
 	request := dispatch.Request
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 const (
@@ -14,6 +16,8 @@
 	dialTimeout   = time.Second
 	pingAfter     = 2 * time.Second
 	pingTimeout   = 2 * time.Second
+	// compressFrom is a size in bytes.
+	compressFrom = 64 << 10
 )
 
 // Server is an HTTP server that is listening.
@@ -25,21 +29,43 @@
 
 // New starts serving the handler on the address.
 func New(address string, handler http.Handler) (*Server, error) {
+	socket, err := Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return NewOn(socket, handler, Hooks{}), nil
+}
+
+// Listen opens a listening socket on the address.
+func Listen(address string) (net.Listener, error) {
 	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	return socket, nil
+}
+
+// Hooks are told of the connections of a server; each may be nil.
+type Hooks struct {
+	State   func(net.Conn, http.ConnState)
+	Context func(context.Context, net.Conn) context.Context
+}
+
+// NewOn starts serving the handler on a socket.
+func NewOn(socket net.Listener, handler http.Handler, hooks Hooks) *Server {
 	s := &Server{
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			Protocols:         protocols(true),
+			ConnState:         hooks.State,
+			ConnContext:       hooks.Context,
 		},
 		address: socket.Addr().String(),
 		done:    make(chan struct{}),
 	}
 	go s.run(socket)
-	return s, nil
+	return s
 }
 
 // Address returns the host and port that the server listens on.
@@ -66,6 +92,20 @@
 	_ = s.http.Serve(socket)
 }
 
+// NewSingleClient returns a client that never has more than one connection to an address, opened by dial.
+func NewSingleClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	client := NewClient()
+	transport, ok := client.Transport.(*http.Transport)
+	if ok {
+		transport.DialContext = dial
+		transport.MaxConnsPerHost = 1
+	}
+	return client
+}
+
+// Plain returns the option with which a service sends replies uncompressed below a size at which compressing pays within a data centre.
+func Plain() connect.HandlerOption { return connect.WithCompressMinBytes(compressFrom) }
+
 // NewClient returns a client for the project's own processes: one multiplexed connection an address.
 func NewClient() *http.Client {
 	return &http.Client{
