--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -44,6 +44,7 @@
 	outboxes  map[string]*outbox
 	retired   []*outbox
 	watchers  *watchers
+	pending   pending
 	addresses *addresses
 	joiner    *joiner
 	failure   error
@@ -132,6 +133,7 @@
 
 // Close ends the instance, and returns why where it had stopped before; what is committed is durable already.
 func (c *Controller) Close() error {
+	c.drain()
 	c.watchers.close()
 	c.server.Close()
 	close(c.stop)
@@ -187,6 +189,7 @@
 			return
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
+			c.machine.Follow(time.Now(), c.state.Catalog.Config().GetControls())
 		case e := <-c.events:
 			c.takeBatch(e)
 		}
