Refuse manifests whose weights give no true coverage

Cause: weights whose sum passes 64 bits wrapped around, so that a part could count as the whole; a shard named twice counted twice.

Change: such an announcement is refused with its field, also before there is a configuration and when a peer passes it on.

Ruled out: the check beside that of what is declared, which is passed over before the first configuration (the test showed it).

Before: TestManifestWeights failed for both; after: passes.

--- a/internal/coordination/registrar/check.go
+++ b/internal/coordination/registrar/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -85,6 +86,40 @@
 	return nil
 }
 
+// checkWeights refuses manifests by which no true coverage could be computed, whatever is declared.
+func checkWeights(ann *wire.Announcement) error {
+	for _, manifest := range ann.GetManifests() {
+		if err := checkWeightsOf(manifest); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkWeightsOf(manifest *wire.Manifest) error {
+	var total uint64
+	named := make(map[string]bool, len(manifest.GetShards()))
+	for _, shard := range manifest.GetShards() {
+		if named[shard.GetShard()] {
+			return &AnnouncementError{
+				Field:  "manifests",
+				Value:  shard.GetShard(),
+				Reason: "is named twice",
+			}
+		}
+		named[shard.GetShard()] = true
+		if shard.GetWeight() > math.MaxUint64-total {
+			return &AnnouncementError{
+				Field:  "weight",
+				Value:  shard.GetShard(),
+				Reason: "makes the sum of the weights too large",
+			}
+		}
+		total += shard.GetWeight()
+	}
+	return nil
+}
+
 func (r *Registrar) checkHolding(ann *wire.Announcement, holding *wire.Holding) error {
 	if err := r.checkDeclared(holding.GetService(), holding.GetShard()); err != nil {
 		return err
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -85,6 +85,9 @@
 	if r.isLive(ann, content) && !r.manifests.contradicted(ann) {
 		return r.take(now, ann, content, true), nil
 	}
+	if err := checkWeights(ann); err != nil {
+		return false, err
+	}
 	if err := r.check(ann); err != nil {
 		return false, err
 	}
@@ -111,6 +114,9 @@
 	if ok && known.content == content && !r.manifests.mayRenew(ann) {
 		return false
 	}
+	if (!ok || known.content != content) && checkWeights(ann) != nil {
+		return false
+	}
 	return r.take(now, ann, content, false)
 }
 
--- /dev/null
+++ b/internal/coordination/registrar/weights_test.go
@@ -0,0 +1,68 @@
+package registrar
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// TestManifestWeights refuses manifests by which no true coverage could be computed.
+func TestManifestWeights(t *testing.T) {
+	cases := []struct {
+		name   string
+		shards []*wire.ShardWeight
+		field  string
+	}{
+		{name: "a shard named twice", field: "manifests", shards: []*wire.ShardWeight{
+			{Shard: "a", Weight: 1},
+			{Shard: "a", Weight: 1},
+		}},
+		{name: "a sum that does not fit", field: "weight", shards: []*wire.ShardWeight{
+			{Shard: "a", Weight: math.MaxUint64},
+			{Shard: "b", Weight: 2},
+		}},
+		{name: "the largest sum that fits", shards: []*wire.ShardWeight{
+			{Shard: "a", Weight: math.MaxUint64 - 1},
+			{Shard: "b", Weight: 1},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Configure(&wire.Config{
+				Services: []*wire.Service{
+					{
+						Name:   "tenants",
+						Shards: []string{"a", "b"},
+					},
+				},
+			})
+			_, err := r.Announce(time.Unix(1_000_000, 0), &wire.Announcement{
+				Upstream:    "u",
+				Address:     "u:1",
+				Zone:        "zone-a",
+				Slots:       2,
+				Connections: 25,
+				LeaseMs:     1000,
+				Manifests: []*wire.Manifest{
+					{
+						Service: "tenants",
+						Version: 1,
+						Shards:  c.shards,
+					},
+				},
+			})
+			field := ""
+			var wrong *AnnouncementError
+			if errors.As(err, &wrong) {
+				field = wrong.Field
+			}
+			if field != c.field {
+				t.Errorf("got %v, want a mistake in %q", err, c.field)
+			}
+		})
+	}
+}
