Record what was answered, refused and why, and report it

Cause: nothing kept what became of a request, so nobody could be shown it.

Change: a bounded ring on each entry instance, handed over in batches to any control instance, synced there into bounded files; sequence numbers keep resends from being doubled and show what is missing; pimentogate report counts them, or traces one request through its decisions.

Seen failing with the mechanism switched off: no dedupe (TestArchiveSurvivesFaults), no bound (TestArchiveIsBounded), no turn to the next control instance while the first stays down (a variant of TestReportSurvivesLostInstances that leaves it down: failed without, passed with). Not shown by a switch-off: the report counting once what two control instances hold.

--- a/integration/claims_test.go
+++ b/integration/claims_test.go
@@ -25,6 +25,7 @@
 	key     string
 	at      time.Time
 	resend  int
+	tenant  string
 	timeout time.Duration
 }
 
@@ -47,6 +48,7 @@
 		"key-time":   c.at.UTC().Format(time.RFC3339),
 		"body":       "body of " + c.key,
 		"resend":     c.resend,
+		"tenant":     c.tenant,
 		"timeout-ms": c.timeout.Milliseconds(),
 	}
 }
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -24,7 +24,9 @@
 	DataFolder        string          `json:"data-folder"`
 	Members           []ControlMember `json:"members"`
 	ElectionTimeoutMs int64           `json:"election-timeout-ms"`
-	LogLevel          string          `json:"log-level"`
+	// OutcomesLimitMB bounds the files of outcomes, in megabytes.
+	OutcomesLimitMB int64  `json:"outcomes-limit-mb,omitempty"`
+	LogLevel        string `json:"log-level"`
 }
 
 // WireMembers returns the first membership as the journal holds it.
@@ -84,6 +86,7 @@
 const (
 	defaultElectionTimeoutMs = 300
 	defaultShutdownGraceMs   = 1000
+	defaultOutcomesLimitMB   = 64
 	defaultRoutingPolicy     = "two-choices"
 	defaultLogLevel          = "info"
 
@@ -97,6 +100,7 @@
 func ReadControl(path string) (*Control, error) {
 	settings := &Control{
 		ElectionTimeoutMs: defaultElectionTimeoutMs,
+		OutcomesLimitMB:   defaultOutcomesLimitMB,
 		LogLevel:          defaultLogLevel,
 	}
 	return read(path, settings, checkControl)
@@ -143,6 +147,7 @@
 	w.needText("data-folder", s.DataFolder)
 	w.needLogLevel(s.LogLevel)
 	w.need("election-timeout-ms", s.ElectionTimeoutMs >= 50, "at least 50")
+	w.need("outcomes-limit-mb", s.OutcomesLimitMB >= 1, "at least 1")
 	w.need("members", len(s.Members)%2 == 1, "an odd number of control instances")
 	for i, member := range s.Members {
 		w.needText(fmt.Sprintf("members[%d].id", i), member.ID)
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -13,6 +13,7 @@
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/state/applier"
 	"pimentogate.example/pimentogate/internal/state/journaler"
+	"pimentogate.example/pimentogate/internal/transport/archiver"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/internal/transport/storer"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -46,6 +47,7 @@
 	watchers  *watchers
 	addresses *addresses
 	joiner    *joiner
+	archiver  *archiver.Archiver
 	failure   error
 	applied   uint64
 	server    *listener.Server
@@ -101,6 +103,10 @@
 	if err := c.restore(saved); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
+	c.archiver, err = archiver.Open(settings.DataFolder, c.outcomesLimit())
+	if err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
 	c.server, err = listener.New(settings.Listen, c.handler())
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
@@ -144,7 +150,7 @@
 		o.close()
 	}
 	c.client.CloseIdleConnections()
-	return errors.Join(c.failure, c.store.Close())
+	return errors.Join(c.failure, c.archiver.Close(), c.store.Close())
 }
 
 func (c *Controller) handler() http.Handler {
--- a/internal/transport/gateway/app.go
+++ b/internal/transport/gateway/app.go
@@ -144,6 +144,7 @@
 			status = iris.StatusRequestEntityTooLarge
 		}
 	}
+	g.outcomes.noteMistake(requestID, ctx.Params().Get("service"))
 	ctx.StatusCode(status)
 	_ = ctx.JSON(answer)
 }
--- a/internal/transport/gateway/control_test.go
+++ b/internal/transport/gateway/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -12,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/controller"
@@ -166,3 +168,12 @@
 		})
 	}
 }
+
+// BenchmarkOutcomeNote gives what a record costs an answer while the ring has room.
+func BenchmarkOutcomeNote(b *testing.B) {
+	l := newOutcomeLog("entry-1", nil, tally.NoopScope.Counter(""))
+	for b.Loop() {
+		l.noteQuery(traced{})
+		l.ring.Stored(math.MaxUint64)
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -43,7 +43,7 @@
 	meter     *meter
 	events    chan event
 	ends      chan sender.End
-	waiting   map[uint64]chan gatherer.Answer
+	waiting   map[uint64]*waiter
 	lastQuery atomic.Uint64
 	lastRun   atomic.Uint64
 	// revision is the configuration in force, floor the newest one that was in force here in an earlier life.
@@ -56,6 +56,7 @@
 	spreader  *spreader
 	watcher   *watcher
 	concluder *concluder
+	outcomes  *outcomeLog
 	decisions *decisionLog
 	stopOnce  sync.Once
 	// closing ends the parts that speak to other instances, stop the loop after them.
@@ -84,7 +85,7 @@
 		meter:     newMeter(),
 		events:    make(chan event, eventRing),
 		ends:      ends,
-		waiting:   map[uint64]chan gatherer.Answer{},
+		waiting:   map[uint64]*waiter{},
 		startedAt: time.Now(),
 		closing:   make(chan struct{}),
 		stop:      make(chan struct{}),
@@ -99,6 +100,7 @@
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.concluder = newConcluder(g)
+	g.outcomes = newOutcomeLog(settings.Instance, g.control, g.meter.scope.Counter("outcome_records_lost"))
 	g.decisions = newDecisionLog(g.log, g.meter.scope.Counter("decision_lines_lost"))
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
 	go g.decisions.run()
@@ -106,6 +108,7 @@
 	go g.spreader.run()
 	go g.watcher.run()
 	go g.concluder.run()
+	go g.outcomes.run()
 	return g, nil
 }
 
@@ -196,11 +199,13 @@
 		g.sender.Cancel(attempt)
 	}
 	for i := range actions.Restarts {
+		g.traceRestart(&actions.Restarts[i])
 		g.decisions.note(decision{
 			restart: &actions.Restarts[i],
 		})
 	}
 	for i, send := range actions.Sends {
+		g.traceSend(&actions.Sends[i])
 		g.decisions.note(decision{
 			send: &actions.Sends[i],
 		})
@@ -219,7 +224,10 @@
 		return
 	}
 	delete(g.waiting, answer.Query.ID)
-	waiting <- answer
+	waiting.answer <- traced{
+		answer:    answer,
+		decisions: waiting.trace.decisions(),
+	}
 }
 
 // ask runs a question inside the loop and waits for it.
@@ -247,7 +255,9 @@
 // query runs one search to its answer.
 func (g *Gateway) query(ctx context.Context, query gatherer.Query) (gatherer.Answer, error) {
 	query.ID = g.lastQuery.Add(1)
-	waiting := make(chan gatherer.Answer, 1)
+	waiting := &waiter{
+		answer: make(chan traced, 1),
+	}
 	err := g.ask(ctx, func(now time.Time) {
 		g.waiting[query.ID] = waiting
 		g.machine.Start(now, query)
@@ -256,11 +266,13 @@
 		return gatherer.Answer{}, err
 	}
 	select {
-	case answer := <-waiting:
-		g.meter.answer(answer)
-		return answer, nil
+	case t := <-waiting.answer:
+		g.meter.answer(t.answer)
+		g.outcomes.noteQuery(t)
+		return t.answer, nil
 	case <-ctx.Done():
 		g.abandon(query.ID)
+		g.outcomes.noteGone(query)
 		return gatherer.Answer{}, ctx.Err()
 	case <-g.done:
 		return gatherer.Answer{}, errStopping
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -44,7 +45,8 @@
 		Deadline:   deadline,
 		Call:       body.Resend,
 	}
-	answer, revision := g.runOnce(request)
+	answer, revision, decisions := g.runOnce(request)
+	g.outcomes.noteRun(request, answer, time.Since(arrived), decisions)
 	g.log.Info("run", "request-id", requestID, "tenant", request.Tenant, "service", request.Service, "key", request.Key, "resend", request.Call,
 		"outcome", parser.OutcomeName(answer.Outcome), "reason", answer.Reason, "repeated", answer.Repeated, "latency-us", time.Since(arrived).Microseconds())
 	g.writeRun(ctx, request, answer, revision)
@@ -59,18 +61,19 @@
 }
 
 // runOnce drives one request from its claim to its answer; it goes on when the caller has gone.
-func (g *Gateway) runOnce(request runner.Request) (runner.Answer, uint64) {
+func (g *Gateway) runOnce(request runner.Request) (runner.Answer, uint64, []string) {
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
 	defer cancel()
 	chosen := g.chooseRoute(ctx, request)
 	if chosen.reason != runner.ReasonNone {
-		return runner.Refuse(request, chosen.reason, chosen.wait), chosen.revision
+		return runner.Refuse(request, chosen.reason, chosen.wait), chosen.revision, nil
 	}
 	d := &driver{
 		gateway: g,
 		run:     runner.New(request, g.lastRun.Add(1), chosen.targets),
 	}
-	return d.drive(ctx, chosen.targets), chosen.revision
+	answer := d.drive(ctx, chosen.targets)
+	return answer, chosen.revision, d.decisions
 }
 
 func (g *Gateway) chooseRoute(ctx context.Context, request runner.Request) route {
@@ -127,7 +130,8 @@
 	gateway *Gateway
 	run     *runner.Run
 	// early is the connection that opens while the claim is decided, or nil.
-	early *sender.Once
+	early     *sender.Once
+	decisions []string
 }
 
 func (d *driver) drive(ctx context.Context, targets []runner.Target) runner.Answer {
@@ -163,9 +167,11 @@
 	verdict, err := d.gateway.control.claim(ctx, request)
 	if err != nil {
 		d.gateway.log.Info("claim failed", "request-id", request.GetRequestId(), "service", request.GetService(), "key", request.GetKey(), "error", err.Error())
+		d.decisions = append(d.decisions, "claim failed")
 		return d.run.ClaimFailed()
 	}
 	d.gateway.log.Info("claimed", "request-id", request.GetRequestId(), "service", request.GetService(), "key", request.GetKey(), "verdict", verdict.GetVerdict().String())
+	d.decisions = append(d.decisions, fmt.Sprintf("claim %s: %s", request.GetClaimId(), verdict.GetVerdict()))
 	return d.run.Claimed(time.Now(), verdict)
 }
 
@@ -180,6 +186,7 @@
 	end := once.Send(ctx, request, d.run.MayWrite)
 	d.gateway.log.Info("dispatched", "service", request.GetService(), "key", request.GetKey(), "attempt", request.GetAttempt(), "upstream", dispatch.Target.Upstream,
 		"written", !end.NotWritten, "refused", end.NotStarted, "replied", end.Response != nil)
+	d.decisions = append(d.decisions, fmt.Sprintf("dispatched to %s: written %t, refused %t, replied %t", dispatch.Target.Upstream, !end.NotWritten, end.NotStarted, end.Response != nil))
 	return d.run.Dispatched(time.Now(), end)
 }
 
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -96,6 +96,12 @@
 			example: "pimentogate status -control 127.0.0.1:7101",
 			run:     (*Operator).status,
 		},
+		{
+			name:    "report",
+			summary: "count what was answered, refused and why, or trace one request",
+			example: "pimentogate report -control 127.0.0.1:7101,127.0.0.1:7102 -from 2026-01-31T08:00:00Z -tenant bakery",
+			run:     (*Operator).report,
+		},
 	}
 }
 
