--- a/integration/report_test.go
+++ b/integration/report_test.go
@@ -47,6 +47,27 @@
 	return total
 }
 
+// checkReported sends 150 queries with a fault between them, and compares what callers were told with the report.
+func (f *fleet) checkReported(t *testing.T, tenant string, lose func(i int), back func()) {
+	t.Helper()
+	told := int64(0)
+	for n := range 150 {
+		lose(n)
+		if f.entries[n%len(f.entries)].askAs(tenant, fmt.Sprintf("%s-%d", tenant, n)) == "answered" {
+			told++
+		}
+	}
+	back()
+	var found counted
+	waitFor(t, settled, "every answer is in the report", func() bool {
+		found = f.report("-tenant", tenant)
+		return len(found.Unreached) == 0 && found.count("answered") >= told
+	})
+	if found.count("answered") != told || found.Records != 150 || found.Missing != 0 {
+		t.Errorf("told %d of 150 answered; reported %+v", told, found)
+	}
+}
+
 func TestReportSurvivesLostInstances(t *testing.T) {
 	f := newFleet(t, plan{
 		controls: 3,
@@ -74,25 +95,10 @@
 	}
 	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			tenant := fmt.Sprint("tenant-", i)
-			told := int64(0)
-			for n := range 150 {
-				c.lose(n)
-				if f.entries[n%len(f.entries)].askAs(tenant, fmt.Sprintf("%s-%d", tenant, n)) == "answered" {
-					told++
-				}
-			}
-			c.back()
-			var found counted
-			waitFor(t, settled, "every answer is in the report", func() bool {
-				found = f.report("-tenant", tenant)
-				return len(found.Unreached) == 0 && found.count("answered") >= told
-			})
-			if found.count("answered") != told || found.Records != 150 || found.Missing != 0 {
-				t.Errorf("told %d of 150 answered; reported %+v", told, found)
-			}
+			f.checkReported(t, fmt.Sprint("tenant-", i), c.lose, c.back)
 		})
 	}
+	f.operate(2, "report", "-from", "yesterday")
 	t.Run("one request traced", func(t *testing.T) {
 		c := newCall("traced")
 		c.tenant = "traced-tenant"
