--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -45,6 +45,7 @@
 	outboxes  map[string]*outbox
 	retired   []*outbox
 	watchers  *watchers
+	pending   pending
 	addresses *addresses
 	joiner    *joiner
 	archiver  *archiver.Archiver
@@ -138,6 +139,7 @@
 
 // Close ends the instance, and returns why where it had stopped before; what is committed is durable already.
 func (c *Controller) Close() error {
+	c.drain()
 	c.watchers.close()
 	c.server.Close()
 	close(c.stop)
@@ -193,6 +195,7 @@
 			return
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
+			c.machine.Follow(time.Now(), c.state.Catalog.Config().GetControls())
 		case e := <-c.events:
 			c.takeBatch(e)
 		}
--- a/internal/transport/gateway/meter.go
+++ b/internal/transport/gateway/meter.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
@@ -18,16 +20,18 @@
 type meter struct {
 	scope    tally.Scope
 	reporter tallyprometheus.Reporter
+	closer   io.Closer
 }
 
 func newMeter() *meter {
 	// A registry of its own lets several entry instances run in one process.
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
 		Registerer: registry,
 		Gatherer:   registry,
 	})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "pimentogate",
 		CachedReporter: reporter,
 		Separator:      tallyprometheus.DefaultSeparator,
@@ -35,9 +39,12 @@
 	return &meter{
 		scope:    scope,
 		reporter: reporter,
+		closer:   closer,
 	}
 }
 
+func (m *meter) close() { _ = m.closer.Close() }
+
 func (m *meter) handler() http.Handler { return m.reporter.HTTPHandler() }
 
 func (m *meter) attempt(kind gatherer.AttemptKind) {
--- a/internal/transport/loader/comparer.go
+++ b/internal/transport/loader/comparer.go
@@ -17,7 +17,7 @@
 	wholeLimit    = 30 * time.Second
 	policySetting = "routing-policy"
 	// defaultPolicies are compared where none are named.
-	defaultPolicies = defaultPolicy
+	defaultPolicies = "round-robin,owner"
 )
 
 // Comparison is what to compare, and under which load.
