--- a/internal/transport/operator/report.go
+++ b/internal/transport/operator/report.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -206,15 +205,6 @@
 	}
 }
 
-func (o *Operator) printJSON(value any) error {
-	encoded, err := json.Marshal(value)
-	if err != nil {
-		return fmt.Errorf("print: %w", err)
-	}
-	fmt.Fprintln(o.out, string(encoded))
-	return nil
-}
-
 func milliseconds(us int64) float64 { return float64(us) / float64(time.Millisecond/time.Microsecond) }
 
 func orDash(text string) string {
