Prove that joiners stay within a replica's limit, by its own count

Three entry instances use their whole share of 25 connections with runs of 20 ms while two more join.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -99,6 +99,8 @@
 	standins []*process
 	proxies  map[string]*toxiproxy.Proxy
 	api      *toxiproxy.ApiServer
+	// joined is how many entry instances were added later.
+	joined int
 }
 
 // process is one process with the addresses it serves.
--- a/integration/limits_test.go
+++ b/integration/limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -108,6 +109,44 @@
 	p.done.Wait()
 }
 
+// TestJoinersStayWithinLimit adds entry instances while the others use their whole share of a replica's connections.
+func TestJoinersStayWithinLimit(t *testing.T) {
+	f := newFleet(t, plan{
+		controls: 3,
+		entries:  3,
+		zones:    1,
+		shards:   1,
+		replicas: 1,
+		workMs:   20,
+	})
+	pressure := startPressure(f.entries)
+	time.Sleep(time.Second)
+	joiners := []*process{f.join(f.entries[0]), f.join(f.entries[1])}
+	for _, j := range joiners {
+		waitFor(t, 5*time.Second, j.name+" is ready", j.isReady)
+	}
+	second := startPressure(joiners)
+	time.Sleep(2 * time.Second)
+	second.close()
+	pressure.close()
+	record := f.standins[0].started()
+	t.Logf("%d connections at most, %d runs started", record.MostConnections, len(record.Runs))
+	if record.MostConnections > connectionLimit || record.MostConnections < connectionLimit/2 {
+		t.Errorf("%d connections at most, the limit is %d", record.MostConnections, connectionLimit)
+	}
+	through := 0
+	for _, run := range record.Runs {
+		for _, j := range joiners {
+			if strings.HasPrefix(run.Key, j.name+"-") {
+				through++
+			}
+		}
+	}
+	if through == 0 {
+		t.Error("no run came through the joiners")
+	}
+}
+
 // TestLateJoiner adds an entry instance that knows one peer and that no other process lists, and then loses that peer.
 func TestLateJoiner(t *testing.T) {
 	f := newFleet(t, plan{
@@ -135,7 +174,8 @@
 
 // join starts one more entry instance, which is told of one peer.
 func (f *fleet) join(seed *process) *process {
-	e := f.place("entry", len(f.entries), "pimentogate")
+	e := f.place("entry", len(f.entries)+f.joined, "pimentogate")
+	f.joined++
 	e.callers = freeAddress(f.t)
 	f.settleEntry(e)
 	settings, ok := e.settings.(*checker.Entry)
