Heed the leaving mark that an upstream puts on a run

Cause: only searches looked at the mark on a reply or refusal; an upstream that said on a run that it was leaving, and whose heartbeats went on, received work as before.

Change: the end of a dispatch carries the mark, which names the incarnation that the run went to.

--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -72,6 +72,41 @@
 	}
 }
 
+// TestRunMarksLeaving lets an upstream say only with its word on a run that it is leaving, while its heartbeats go on.
+func TestRunMarksLeaving(t *testing.T) {
+	cases := []struct {
+		name     string
+		switches map[string]any
+		outcome  string
+	}{
+		{"its reply is marked", map[string]any{"leaving-marked": true}, "answered"},
+		{"it refuses the run", map[string]any{"leaving-refused": true}, "not-run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, plan{
+				controls: 1,
+				entries:  1,
+				zones:    1,
+				shards:   1,
+				replicas: 1,
+			})
+			e, s := f.entries[0], f.standins[0]
+			before := s.started().Received
+			s.switchTo(c.switches)
+			if answer, _ := e.run("last", time.Now()); answer.Outcome != c.outcome {
+				t.Fatalf("the run: %+v", answer)
+			}
+			if answer, _ := e.query("next", 500); answer.Reason != "no-upstream" {
+				t.Errorf("the query after it: %+v", answer)
+			}
+			if after := s.started().Received; after != before {
+				t.Errorf("%d requests received after the run", after-before)
+			}
+		})
+	}
+}
+
 // load asks entry instances without a pause until it is closed.
 type load struct {
 	stop chan struct{}
--- a/internal/coordination/runner/types.go
+++ b/internal/coordination/runner/types.go
@@ -30,8 +30,9 @@
 
 // Target is an upstream that may be sent the request.
 type Target struct {
-	Upstream string
-	Address  string
+	Upstream    string
+	Incarnation uint64
+	Address     string
 }
 
 // Reason says why a request has no result.
@@ -89,6 +90,8 @@
 	NotWritten bool
 	// NotStarted says that the upstream refused before it started.
 	NotStarted bool
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
 }
 
 // Dispatch is one request to one upstream.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/coordination/registrar"
+	"pimentogate.example/pimentogate/internal/coordination/runner"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -89,3 +90,10 @@
 		g.machine.Registrar.Renew(now, renewal)
 	}
 }
+
+// markLeaving notes that a reply to a run said its upstream is leaving.
+func (g *Gateway) markLeaving(target runner.Target) {
+	_ = g.ask(context.Background(), func(time.Time) {
+		g.machine.Registrar.MarkLeaving(target.Upstream, target.Incarnation)
+	})
+}
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -115,8 +115,9 @@
 		replica := g.machine.Router.Pick(now, holders)
 		holders = slices.DeleteFunc(holders, func(other *registrar.Replica) bool { return other == replica })
 		targets = append(targets, runner.Target{
-			Upstream: replica.Upstream,
-			Address:  replica.Address,
+			Upstream:    replica.Upstream,
+			Incarnation: replica.Incarnation,
+			Address:     replica.Address,
 		})
 	}
 	return targets
@@ -178,6 +179,9 @@
 	defer once.Close()
 	request := dispatch.Request
 	end := once.Send(ctx, request, d.run.MayWrite)
+	if end.Leaving {
+		d.gateway.markLeaving(dispatch.Target)
+	}
 	d.gateway.log.Info("dispatched", "service", request.GetService(), "key", request.GetKey(), "attempt", request.GetAttempt(), "upstream", dispatch.Target.Upstream,
 		"written", !end.NotWritten, "refused", end.NotStarted, "replied", end.Response != nil)
 	return d.run.Dispatched(time.Now(), end)
--- a/internal/transport/sender/once.go
+++ b/internal/transport/sender/once.go
@@ -86,11 +86,14 @@
 	if err == nil {
 		return runner.DispatchEnd{
 			Response: response.Msg,
+			Leaving:  response.Msg.GetLeaving(),
 		}
 	}
+	refusal := notStarted(err)
 	return runner.DispatchEnd{
 		NotWritten: o.seal(),
-		NotStarted: notStarted(err) != nil,
+		NotStarted: refusal != nil,
+		Leaving:    refusal.GetLeaving(),
 	}
 }
 
