--- a/internal/transport/loader/command.go
+++ b/internal/transport/loader/command.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -9,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 )
 
@@ -145,85 +142,7 @@
 	}
 }
 
-// quick fits any machine: two policies within 40 s.
-const (
-	quickScale   = 0.4
-	quickSeconds = 8
-	quickWarmUp  = 2
-)
-
-func (c *Command) compare(arguments []string) error {
-	flags := c.flags("compare", "bring a customer's sizes up in this process and measure routing policies in turn on the same seed",
-		"loader compare -preset kvali-desk -policies "+defaultPolicies+" -load 0.5")
-	var listed strings.Builder
-	for _, p := range presets() {
-		listed.WriteString("\n" + p.String())
-	}
-	presetName := flags.String("preset", presets()[0].name, "the sizes, one of:"+listed.String())
-	policies := flags.String("policies", defaultPolicies, "values of the entry setting "+policySetting+" to compare, with commas between; "+defaultPolicy+" leaves it out")
-	entries := flags.Int("entries", 8, "entry instances")
-	load := flags.Float64("load", 0.5, "load as a share of the capacity of the slots")
-	scale := flags.Float64("scale", 1, "share of the preset's shards, or of the replicas where there is one shard")
-	workMs := flags.Float64("work-ms", 10, "median work of a sub-request, in ms")
-	sigma := flags.Float64("work-sigma", 0.5, "spread of the work, as the sigma of its logarithm")
-	stragglers := flags.Bool("stragglers", true, "one replica in ten is ten times slower for 300 ms at a time, never two of one shard")
-	timeoutMs := flags.Int64("timeout-ms", 3000, "deadline of a query, in ms")
-	seconds := flags.Float64("seconds", 15, "length of each measurement")
-	warmUp := flags.Float64("warm-up", 3, "seconds of load before each measurement")
-	seed := flags.Uint64("seed", 1, "seed of arrivals and work")
-	first := flags.Bool("first-service", false, "only the preset's first service")
-	quick := flags.Bool("quick", false, "a short run at a smaller size, under 40 s")
-	if err := parse(flags, arguments); err != nil {
-		return err
-	}
-	chosen, known := findPreset(*presetName)
-	if *quick {
-		*first = true
-		*scale, *seconds, *warmUp = quickScale, quickSeconds, quickWarmUp
-	}
-	err := firstOf(
-		need(known, flags, "preset", "one of "+strings.Join(presetNames(), ", ")),
-		need(*policies != "", flags, "policies", "names with commas between"),
-		need(*entries > 0, flags, "entries", "above 0"),
-		need(*load > 0 && *load <= 10, flags, "load", "above 0 and at most 10"),
-		need(*scale > 0 && *scale <= 4, flags, "scale", "above 0 and at most 4"),
-		need(*workMs > 0, flags, "work-ms", "above 0"),
-		need(*sigma >= 0, flags, "work-sigma", "0 or more"),
-		need(*timeoutMs > 0, flags, "timeout-ms", "above 0"),
-		need(*seconds > 0, flags, "seconds", "above 0"),
-		need(*warmUp >= 0, flags, "warm-up", "0 or more"),
-	)
-	if err != nil {
-		return err
-	}
-	if *first {
-		chosen.services = chosen.services[:1]
-	}
-	comparison := &Comparison{
-		preset:   chosen.scale(*scale),
-		policies: strings.Split(*policies, ","),
-		entries:  *entries,
-		share:    *load,
-		work: work{
-			medianMs:   *workMs,
-			sigma:      *sigma,
-			stragglers: *stragglers,
-		},
-		timeout: time.Duration(*timeoutMs) * time.Millisecond,
-		warmUp:  seconds64(*warmUp),
-		length:  seconds64(*seconds),
-		seed:    *seed,
-		log:     logr.Discard(),
-	}
-	report := &reporter{
-		lines: c.out,
-		table: c.errOut,
-	}
-	defer report.close()
-	return comparison.Run(context.Background(), report.take)
-}
-
-func seconds64(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 func firstOf(mistakes ...error) error {
 	for _, err := range mistakes {
--- a/internal/transport/loader/remote.go
+++ b/internal/transport/loader/remote.go
@@ -42,7 +42,7 @@
 	r := &remote{
 		entries:  strings.Split(*entries, ","),
 		standins: strings.FieldsFunc(*standins, func(c rune) bool { return c == ',' }),
-		length:   seconds64(*seconds),
+		length:   toDuration(*seconds),
 		load: serviceLoad{
 			service:      *service,
 			shards:       *shards,
@@ -152,7 +152,7 @@
 	for rate := *from; ; rate *= 2 {
 		r := &remote{
 			entries: []string{server.Address()},
-			length:  seconds64(*seconds),
+			length:  toDuration(*seconds),
 			load: serviceLoad{
 				service:   "nothing",
 				shards:    1,
--- a/internal/transport/loader/reporter.go
+++ b/internal/transport/loader/reporter.go
@@ -37,7 +37,7 @@
 	_ = w.Flush()
 	for _, result := range r.results {
 		if result.LoaderSaturated {
-			fmt.Fprintf(r.table, "%s, %s: the loader itself was saturated; the latencies are not those of the tier alone\n", result.Policy, result.Service)
+			fmt.Fprintf(r.table, "%s, %s: the loader or its machine fell behind (send lag p99 above %s, or %d queries not sent); the latencies are not those of the tier alone\n", result.Policy, result.Service, saturatedLag, result.Discarded)
 		}
 	}
 }
