--- a/internal/protocol/checker/decode.go
+++ b/internal/protocol/checker/decode.go
@@ -19,6 +19,8 @@
 	Field   string
 	Value   string
 	Allowed string
+	// missing says that the field is not in the file.
+	missing bool
 }
 
 // String says where the mistake is and what is allowed there.
@@ -82,17 +84,27 @@
 	return w, nil
 }
 
-// err returns the mistakes in the order of their lines.
+// err returns the mistakes in the order of their lines, what is missing after what is there.
 func (w *walker) err() error {
 	if len(w.mistakes) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(w.mistakes, func(a, b Mistake) int { return cmp.Compare(a.Line, b.Line) })
+	slices.SortStableFunc(w.mistakes, func(a, b Mistake) int {
+		return cmp.Or(cmp.Compare(presence(a), presence(b)), cmp.Compare(a.Line, b.Line))
+	})
 	return &MistakesError{
 		Mistakes: w.mistakes,
 	}
 }
 
+// presence is 0 for a mistake in what is there, and 1 for something missing.
+func presence(m Mistake) int {
+	if m.missing {
+		return 1
+	}
+	return 0
+}
+
 // complain notes a mistake at a field, unless the field or what holds it has one already.
 func (w *walker) complain(field, allowed string) {
 	if w.isBlamed(field) {
@@ -113,6 +125,7 @@
 		Field:   field,
 		Value:   at.value,
 		Allowed: allowed,
+		missing: !ok,
 	})
 }
 
