Keep the key's time in the resends of TestControlLeaderLost

Cause: the test polled with a new key time at each send. A send whose claim was committed after its answer was lost made every later one another request under the same key, so it got key-conflict for the rest of the 10 s. Ruled out: a stuck election (the next leader was there within a second in the failing run, term 4, and went on committing). Change: the resends carry the key's own time, as callers must; what is asked for stays the same. Conclusion: a mistake of the test, not of the system.

--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -68,8 +68,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			leader := f.leader()
 			c.lose(leader)
+			keyTime := time.Now()
 			waitFor(t, 10*time.Second, "a run under the next leader", func() bool {
-				answer, _ := f.entries[1].run("key-"+c.name, time.Now())
+				answer, _ := f.entries[1].run("key-"+c.name, keyTime)
 				return answer.Outcome == "answered"
 			})
 			c.back(leader)
