--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -284,7 +284,9 @@
 	for i := range 8 {
 		state = append(state, byte(n.state>>(8*i)))
 	}
-	n.machine.Compact(n.applied, state)
+	header := n.machine.Header(n.applied)
+	header.State = state
+	n.machine.Compact(header)
 	n.disk.save(n.machine.Take(), false)
 }
 
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -235,23 +235,28 @@
 	m.owesRound = true
 }
 
-// Compact replaces the applied prefix by a snapshot of the state at the index.
-func (m *Machine) Compact(index uint64, state []byte) {
+// Header returns a snapshot at the index that lacks just the state, or nil where the index is not both held and handed out for applying.
+func (m *Machine) Header(index uint64) *wire.JournalSnapshot {
 	term, held := m.log.Term(index)
 	if !held || index > m.delivered {
-		return
+		return nil
 	}
-	members := m.membersAt(index)
-	snapshot := &wire.JournalSnapshot{
+	return &wire.JournalSnapshot{
 		Index: index,
 		Term:  term,
 		Members: &wire.MemberList{
-			Members: members,
+			Members: m.membersAt(index),
 		},
-		State: state,
+	}
+}
+
+// Compact replaces the applied prefix by a snapshot made from its Header; one that another has overtaken is passed over.
+func (m *Machine) Compact(snapshot *wire.JournalSnapshot) {
+	if m.log.FirstIndex() > snapshot.GetIndex() {
+		return
 	}
 	m.log.Compact(snapshot)
-	m.base = members
+	m.base = snapshot.GetMembers().GetMembers()
 	m.actions.Snapshot = snapshot
 }
 
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -34,24 +34,27 @@
 type Controller struct {
 	settings *checker.Control
 	// id is the identity in the journal, which differs from the settings' name after a lost disk.
-	id        string
-	log       logr.Logger
-	store     *storer.Storer
-	machine   *journaler.Machine
-	state     *applier.Applier
-	events    chan event
-	waiting   map[uint64]waiter
-	outboxes  map[string]*outbox
-	retired   []*outbox
-	watchers  *watchers
-	addresses *addresses
-	joiner    *joiner
-	failure   error
-	applied   uint64
-	server    *listener.Server
-	client    *http.Client
-	stop      chan struct{}
-	done      chan struct{}
+	id          string
+	log         logr.Logger
+	store       *storer.Storer
+	machine     *journaler.Machine
+	state       *applier.Applier
+	events      chan event
+	waiting     map[uint64]waiter
+	outboxes    map[string]*outbox
+	retired     []*outbox
+	watchers    *watchers
+	addresses   *addresses
+	joiner      *joiner
+	snapshotter *snapshotter
+	// snapshotting is set while a snapshot is being prepared.
+	snapshotting bool
+	failure      error
+	applied      uint64
+	server       *listener.Server
+	client       *http.Client
+	stop         chan struct{}
+	done         chan struct{}
 }
 
 type waiter struct {
@@ -107,6 +110,8 @@
 	}
 	c.log.Info("started", "identity", c.id, "address", c.server.Address(), "applied", c.applied, "last-index", c.machine.LastIndex())
 	c.joiner = newJoiner(c)
+	c.snapshotter = newSnapshotter(settings.DataFolder, saved.Snapshot, c.done)
+	go c.snapshotter.run()
 	go c.run()
 	go c.joiner.run()
 	return c, nil
@@ -137,6 +142,7 @@
 	close(c.stop)
 	<-c.done
 	<-c.joiner.done
+	<-c.snapshotter.done
 	for _, o := range c.outboxes {
 		o.close()
 	}
@@ -181,17 +187,23 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
+		var err error
 		select {
 		case <-c.stop:
 			c.failWaiting(errClosed)
 			return
+		case p := <-c.snapshotter.prepared:
+			err = c.takePrepared(p)
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
 			c.machine.Follow(time.Now(), c.state.Catalog.Config().GetControls())
 		case e := <-c.events:
 			c.takeBatch(e)
 		}
-		if err := c.carryOut(); err != nil {
+		if err == nil {
+			err = c.carryOut()
+		}
+		if err != nil {
 			c.log.Error(err, "journal could not be made durable; this instance stops")
 			c.failure = err
 			c.failWaiting(errClosed)
@@ -253,6 +265,14 @@
 			return err
 		}
 		c.applied = snapshot.GetIndex()
+		c.snapshotter.steps <- copyStep{
+			installed: snapshot,
+		}
+	}
+	if len(actions.Committed) > 0 {
+		c.snapshotter.steps <- copyStep{
+			entries: actions.Committed,
+		}
 	}
 	if err := c.apply(actions.Committed); err != nil {
 		return err
@@ -262,7 +282,8 @@
 	}
 	c.addresses.note(c.machine.Members())
 	c.watchers.publish(c.state.Catalog.Config())
-	return c.compact()
+	c.compact()
+	return nil
 }
 
 func (c *Controller) apply(entries []*wire.JournalEntry) error {
@@ -294,17 +315,30 @@
 	}
 }
 
-// compact snapshots the state once the journal has grown enough.
-func (c *Controller) compact() error {
-	if c.machine.LogSize() < snapshotLag {
-		return nil
+// compact asks for a snapshot of the state once the journal has grown enough.
+func (c *Controller) compact() {
+	if c.snapshotting || c.machine.LogSize() < snapshotLag {
+		return
 	}
-	encoded, err := c.state.Snapshot()
-	if err != nil {
-		return fmt.Errorf("snapshot: %w", err)
+	header := c.machine.Header(c.applied)
+	if header == nil {
+		return
 	}
-	c.machine.Compact(c.applied, encoded)
-	return c.store.Save(c.machine.Take())
+	c.snapshotting = true
+	c.snapshotter.steps <- copyStep{
+		header: header,
+	}
+}
+
+// takePrepared puts a snapshot that is written already in force.
+func (c *Controller) takePrepared(p preparedSnapshot) error {
+	c.snapshotting = false
+	if p.err != nil {
+		return fmt.Errorf("snapshot: %w", p.err)
+	}
+	c.store.TakePrepared(p.snapshot)
+	c.machine.Compact(p.snapshot)
+	return nil
 }
 
 func (c *Controller) failWaiting(err error) {
--- a/internal/transport/controller/controller_test.go
+++ b/internal/transport/controller/controller_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -241,3 +243,103 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// claimCommand claims the key of a number.
+func claimCommand(number uint64) *wire.Command {
+	return &wire.Command{
+		TimeMs: 1,
+		Change: &wire.Command_Claim{
+			Claim: &wire.ClaimRequest{
+				Service:    "mailbox-restore",
+				Tenant:     fmt.Sprintf("tenant-%d", number%8),
+				Key:        fmt.Sprintf("key-%d", number),
+				ClaimId:    fmt.Sprintf("claim-%d", number),
+				BodyDigest: strings.Repeat("d", 64),
+				KeyTimeMs:  time.Now().UnixMilli(),
+			},
+		},
+	}
+}
+
+// claimMany claims so many keys from the first on, many at once.
+func claimMany(t testing.TB, c *Controller, first, count uint64) {
+	t.Helper()
+	const callers = 64
+	var group sync.WaitGroup
+	for caller := range uint64(callers) {
+		group.Go(func() {
+			for number := first + caller; number < first+count; number += callers {
+				result, err := c.command(context.Background(), claimCommand(number))
+				if err != nil || result.Claim.GetVerdict() != wire.ClaimVerdict_CLAIM_VERDICT_GRANTED {
+					t.Errorf("claim %d: %v, error %v", number, result.Claim, err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestSnapshotAndRestart holds that a restart behind several snapshots knows every claim and change, and that the journal is cut.
+func TestSnapshotAndRestart(t *testing.T) {
+	const claims = 3*snapshotLag - 100
+	controls := newControls(t, 1)
+	settings := controls[0].settings
+	confirmAny(t, controls, "first", 0)
+	claimMany(t, controls[0], 0, claims)
+	deadline := time.Now().Add(testLimit)
+	for size := claims; size >= snapshotLag; {
+		if time.Now().After(deadline) {
+			t.Fatalf("the journal still holds %d entries", size)
+		}
+		check(t, controls[0].ask(t.Context(), func(time.Time) { size = controls[0].machine.LogSize() }))
+	}
+	check(t, controls[0].Close())
+	before, err := controls[0].state.Snapshot()
+	check(t, err)
+	c, err := New(settings, logr.Discard())
+	check(t, err)
+	confirmAny(t, []*Controller{c}, "second", 1)
+	check(t, c.Close())
+	if c.applied < claims || c.state.Catalog.Config().GetRevision() != 2 || len(c.state.Ledger.Claims()) != claims {
+		t.Errorf("applied %d, revision %d, %d claims; want %d claims and revision 2", c.applied, c.state.Catalog.Config().GetRevision(), len(c.state.Ledger.Claims()), claims)
+	}
+	if len(before) == 0 {
+		t.Error("no state before the restart")
+	}
+}
+
+// BenchmarkPause measures the longest time that the loop is held up while snapshots of so many claims are taken.
+func BenchmarkPause(b *testing.B) {
+	for _, held := range []uint64{1_000, 10_000, 90_000} {
+		b.Run(fmt.Sprintf("claims=%d", held), func(b *testing.B) {
+			controls := newControls(b, 1)
+			confirmAny(b, controls, "first", 0)
+			claimMany(b, controls[0], 0, held)
+			next := held
+			longest := time.Duration(0)
+			stop, done := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(done)
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Millisecond):
+					}
+					asked := time.Now()
+					_ = controls[0].ask(context.Background(), func(time.Time) {})
+					longest = max(longest, time.Since(asked))
+				}
+			}()
+			for b.Loop() {
+				claimMany(b, controls[0], next, snapshotLag)
+				next += snapshotLag
+			}
+			close(stop)
+			<-done
+			b.ReportMetric(float64(longest.Milliseconds()), "ms-longest-pause")
+			check(b, controls[0].Close())
+		})
+	}
+}
--- a/internal/transport/storer/file.go
+++ b/internal/transport/storer/file.go
@@ -123,12 +123,16 @@
 
 // replaceFile puts the content in the place of the named file, all or nothing, and durable.
 func replaceFile(folder, name string, content []byte) error {
-	path := filepath.Join(folder, name)
-	next := path + ".next"
-	if err := writeSynced(next, content); err != nil {
+	next := name + ".next"
+	if err := writeSynced(filepath.Join(folder, next), content); err != nil {
 		return err
 	}
-	if err := os.Rename(next, path); err != nil {
+	return putInPlace(folder, next, name)
+}
+
+// putInPlace renames a file that is synced already, and syncs the folder.
+func putInPlace(folder, written, name string) error {
+	if err := os.Rename(filepath.Join(folder, written), filepath.Join(folder, name)); err != nil {
 		return fmt.Errorf("replace %s: %w", name, err)
 	}
 	return syncFolder(folder)
--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -16,6 +16,7 @@
 const (
 	journalName  = "journal"
 	snapshotName = "snapshot"
+	preparedName = "snapshot.prepared"
 	folderMode   = 0o750
 	fileMode     = 0o640
 )
@@ -29,6 +30,8 @@
 	entries []*wire.JournalEntry
 	// failed is the first error of a write or sync, after which what the file holds is not known.
 	failed error
+	// prepared is a snapshot that Prepare has written already.
+	prepared *wire.JournalSnapshot
 }
 
 // ErrEmpty says that the data folder holds no journal.
@@ -165,7 +168,7 @@
 
 // replace writes the snapshot, then a journal that holds just what comes after it.
 func (s *Storer) replace(snapshot *wire.JournalSnapshot) error {
-	if err := writeSnapshot(s.folder, snapshot); err != nil {
+	if err := s.placeSnapshot(snapshot); err != nil {
 		return err
 	}
 	s.entries = after(s.entries, snapshot.GetIndex())
@@ -183,6 +186,28 @@
 	return nil
 }
 
+func (s *Storer) placeSnapshot(snapshot *wire.JournalSnapshot) error {
+	if s.prepared != snapshot {
+		return writeSnapshot(s.folder, snapshot)
+	}
+	s.prepared = nil
+	return putInPlace(s.folder, preparedName, snapshotName)
+}
+
+// TakePrepared says that the snapshot, which the next Save may hold, was written by Prepare.
+func (s *Storer) TakePrepared(snapshot *wire.JournalSnapshot) {
+	s.prepared = snapshot
+}
+
+// Prepare writes and syncs a snapshot beside the one in force, which stays as it is; it may run beside a Storer.
+func Prepare(folder string, snapshot *wire.JournalSnapshot) error {
+	frame, err := encodeFrame(snapshot)
+	if err != nil {
+		return err
+	}
+	return writeSynced(filepath.Join(folder, preparedName), frame)
+}
+
 func recordsOf(actions journaler.Actions) []*wire.JournalRecord {
 	var records []*wire.JournalRecord
 	if actions.Hard != nil {
--- a/internal/transport/storer/storer_test.go
+++ b/internal/transport/storer/storer_test.go
@@ -173,6 +173,7 @@
 		{"half written", own, func(folder string, _ *wire.JournalSnapshot) error {
 			return os.WriteFile(filepath.Join(folder, snapshotName+".next"), []byte("half"), fileMode)
 		}, 0, entryCount},
+		{"prepared, not in place", own, Prepare, 0, entryCount},
 		{"own snapshot in place, journal not", own, writeSnapshot, 4, 2},
 		{"leader's snapshot in place, journal of another history not", other, writeSnapshot, 4, 0},
 		{"journal half written", own, func(folder string, s *wire.JournalSnapshot) error {
