--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -44,6 +44,7 @@
 	outboxes    map[string]*outbox
 	retired     []*outbox
 	watchers    *watchers
+	pending     pending
 	addresses   *addresses
 	joiner      *joiner
 	snapshotter *snapshotter
@@ -137,6 +138,7 @@
 
 // Close ends the instance, and returns why where it had stopped before; what is committed is durable already.
 func (c *Controller) Close() error {
+	c.drain()
 	c.watchers.close()
 	c.server.Close()
 	close(c.stop)
--- a/internal/transport/loader/loader_test.go
+++ b/internal/transport/loader/loader_test.go
@@ -87,7 +87,7 @@
 		t.Fatalf("exit status %d: %s", status, errOut)
 	}
 	lines := strings.Split(strings.TrimSpace(out), "\n")
-	if len(lines) != 2 {
+	if len(lines) != 4 {
 		t.Fatalf("%d results: %s", len(lines), out)
 	}
 	for _, line := range lines {
