--- a/internal/transport/operator/intent_test.go
+++ b/internal/transport/operator/intent_test.go
@@ -26,14 +26,14 @@
 		intent string
 		want   string
 	}{
-		{`{"declareService": {"name": ""}}`, "name"},
-		{`{"declareService": {"name": "a", "shards": []}}`, "shards"},
-		{`{"declareService": {"name": "a", "shards": ["x", "x"], "coverageMillionths": 1, "timeoutMs": 1}}`, "shards"},
-		{`{"declareService": {"name": "a", "shards": ["x"], "coverageMillionths": 1000001, "timeoutMs": 1}}`, "coverage"},
-		{`{"changeService": {"name": "nobody", "shards": ["x"], "coverageMillionths": 1, "timeoutMs": 1}}`, "nobody"},
-		{`{"setTenantLimit": {"tenant": ""}}`, "tenant"},
-		{`{"setMoon": {}}`, "setMoon"},
-		{`{"declareService": {"name": 5}}`, "name"},
+		{`{"declare-service": {"name": ""}}`, "declare-service.name"},
+		{`{"declare-service": {"name": "a", "shards": []}}`, "declare-service.shards"},
+		{`{"declare-service": {"name": "a", "shards": ["x", "x"], "coverage": 1, "timeout-ms": 1}}`, "shards"},
+		{`{"declare-service": {"name": "a", "shards": ["x"], "coverage": 1.000001, "timeout-ms": 1}}`, "coverage"},
+		{`{"change-service": {"name": "nobody", "shards": ["x"], "coverage": 1, "timeout-ms": 1}}`, "nobody"},
+		{`{"set-tenant-limit": {"tenant": ""}}`, "set-tenant-limit.tenant"},
+		{`{"set-moon": {}}`, "set-moon"},
+		{`{"declare-service": {"name": 5}}`, "declare-service.name"},
 		{`{`, "intent.json"},
 	}
 	path := filepath.Join(t.TempDir(), "intent.json")
