--- a/internal/transport/assembler/assembler.go
+++ b/internal/transport/assembler/assembler.go
@@ -113,16 +113,19 @@
 func (a *Assembly) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
 	defer cancel()
+	var entries, standins []func(context.Context) error
 	for _, e := range a.entries {
-		_ = e.Shutdown(ctx)
+		entries = append(entries, e.Shutdown)
 	}
-	// With the entry instances gone nothing is in flight, and the stand-ins need not wait.
-	cancel()
-	for _, standins := range a.standins {
-		for _, r := range standins {
-			_ = r.Leave(ctx)
+	for _, service := range a.standins {
+		for _, r := range service {
+			standins = append(standins, r.Leave)
 		}
 	}
+	closeAll(ctx, entries)
+	// With the entry instances gone nothing is in flight, and the stand-ins need not wait.
+	cancel()
+	closeAll(ctx, standins)
 	for _, c := range a.controls {
 		_ = c.Close()
 	}
