Send renewals with the heartbeat, and only changes in between

Cause: an idle entry instance called 7 peers ten times a second, since renewals come all the time.

go test ./integration -run 'Leaving|CutZones|Restart|Limit|Joiner|WholePath' passes.

--- a/internal/coordination/registrar/news.go
+++ b/internal/coordination/registrar/news.go
@@ -13,6 +13,7 @@
 type news struct {
 	queue []string
 	items map[string]item
+	full  int
 	reach int
 }
 
@@ -35,11 +36,17 @@
 	if !ok {
 		n.queue = append(n.queue, upstream)
 	}
+	if full && !known.full {
+		n.full++
+	}
 	n.items[upstream] = item{
 		full: full || known.full,
 	}
 }
 
+// HasChanges reports whether there is news other than renewals, which can wait for the next heartbeat.
+func (r *Registrar) HasChanges() bool { return r.news.full > 0 }
+
 // SetReach tells how many other entry instances there are.
 func (r *Registrar) SetReach(members int) { r.news.reach = members }
 
@@ -51,6 +58,9 @@
 	for _, name := range r.news.queue[:count] {
 		told := r.news.items[name]
 		delete(r.news.items, name)
+		if told.full {
+			r.news.full--
+		}
 		known, ok := r.records[name]
 		switch {
 		case !ok || !known.isTold():
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -293,8 +293,14 @@
 	for i := range 100 {
 		direct(announcement(fmt.Sprintf("u%d", i), 1, 1))(r, start)
 	}
+	if !r.HasChanges() {
+		t.Error("nothing to tell")
+	}
 	full, renewals := r.Batch(start, 60)
 	rest, _ := r.Batch(start, 60)
+	if r.HasChanges() {
+		t.Error("everything was told, and there is more")
+	}
 	if len(full) != 60 || len(rest) != 40 || len(renewals) != 0 {
 		t.Errorf("batches of %d, %d and %d", len(full), len(rest), len(renewals))
 	}
--- a/internal/transport/gateway/spreader.go
+++ b/internal/transport/gateway/spreader.go
@@ -19,8 +19,8 @@
 	spreadPeriod = 100 * time.Millisecond
 	// beatRounds, seedRounds and repairRounds are how many rounds lie between two heartbeats, calls to the peers of the settings that are not members, and repairs.
 	beatRounds   = 3
-	seedRounds   = 10
-	repairRounds = 10
+	seedRounds   = 9
+	repairRounds = 9
 
 	spreadLimit   = 256
 	repairLimit   = 256
@@ -60,8 +60,6 @@
 	builtAt       time.Time
 }
 
-func (b *batch) isEmpty() bool { return len(b.announcements) == 0 && len(b.renewals) == 0 }
-
 func newSpreader(g *Gateway, addresses []string) *spreader {
 	s := &spreader{
 		gateway: g,
@@ -118,14 +116,15 @@
 	var news batch
 	var targets []tracker.Member
 	_ = s.gateway.ask(context.Background(), func(now time.Time) {
+		if !isBeat && !s.gateway.machine.Registrar.HasChanges() {
+			return
+		}
 		news.builtAt = now
 		news.announcements, news.renewals = s.gateway.machine.Registrar.Batch(now, spreadLimit)
 		if isBeat {
 			s.gateway.beat(now)
 		}
-		if isBeat || !news.isEmpty() {
-			targets = s.gateway.tracker.Targets(fanOut)
-		}
+		targets = s.gateway.tracker.Targets(fanOut)
 	})
 	repaired := rand.IntN(max(1, len(targets)))
 	for i, target := range targets {
