--- a/internal/coordination/registrar/size_test.go
+++ b/internal/coordination/registrar/size_test.go
@@ -118,3 +118,33 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkPassOn gives how many bytes a renewal takes when peers are told of it, and how many fit a batch.
+func BenchmarkPassOn(b *testing.B) {
+	const batch = 256
+	for _, size := range []int{270, 1080, 2300} {
+		b.Run(fmt.Sprintf("replicas=%d", size), func(b *testing.B) {
+			r := filled(b, size)
+			r.SetReach(size)
+			now := time.UnixMilli(1000)
+			r.Batch(now, size)
+			sequence := uint64(2)
+			bytes, told := 0, 0
+			for b.Loop() {
+				for i := range batch {
+					if _, err := r.Announce(now, announcementOf(i, sequence)); err != nil {
+						b.Fatal(err)
+					}
+				}
+				sequence++
+				_, renewals := r.Batch(now, batch)
+				for _, renewal := range renewals {
+					bytes += proto.Size(renewal)
+					told++
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(max(told, 1)), "wire-B/renewal")
+			b.ReportMetric(float64(told)/float64(b.N), "renewals/batch")
+		})
+	}
+}
