Forget what was learnt of upstreams that have gone

Cause: the router's loads and the queues of departed upstreams stayed for ever; Forget existed in both and nothing called it. Ruled out: dropping at each change of the tables (a short lapse of a lease would lose what was learnt). Change: the machine's cleaning forgets idle upstreams that the registrar does not know; tombstones keep them for a minute. Before: TestForgetsDeparted failed with 50 upstreams (and 50 queues with the owner policy) kept. Conclusion: what an instance keeps is bounded by what is announced.

--- a/internal/coordination/gatherer/restart.go
+++ b/internal/coordination/gatherer/restart.go
@@ -69,6 +69,14 @@
 			delete(m.withdrawn, key)
 		}
 	}
+	m.forgetDeparted()
+}
+
+// forgetDeparted drops what was learnt of upstreams that are no longer announced.
+func (m *Machine) forgetDeparted() {
+	isKnown := func(upstream string) bool { return m.Registrar.Incarnation(upstream) > 0 }
+	m.Router.Forget(isKnown)
+	m.queue.Forget(isKnown)
 }
 
 // reconsider asks for a lost shard again, or begins its query anew, or leaves it lost.
--- a/internal/coordination/queuer/queuer.go
+++ b/internal/coordination/queuer/queuer.go
@@ -171,6 +171,9 @@
 	}
 }
 
+// Known returns how many replicas have a queue.
+func (q *Queuer[T]) Known() int { return len(q.queues) }
+
 func (q *Queuer[T]) at(replica *registrar.Replica) *queue[T] {
 	known, ok := q.queues[replica.Upstream]
 	if !ok {
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -176,10 +176,14 @@
 	for upstream, l := range r.loads {
 		if l.inFlight == 0 && !keep(upstream) {
 			delete(r.loads, upstream)
+			delete(r.turns, upstream)
 		}
 	}
 }
 
+// Known returns of how many upstreams something is kept.
+func (r *Router) Known() int { return len(r.loads) }
+
 func (r *Router) pickNext(candidates []*registrar.Replica) *registrar.Replica {
 	first := candidates[0].Upstream
 	r.turns[first]++
