Own replicas only while ready

Cause: an entry instance that had just started is a living member and so an owner, but knows no upstreams and has no connection share; it told its peers that the version was held nowhere, and they took its word. Found by running every integration test with the owner policy. Ruled out: the leaving instance (its log shows the replies of all it had). Change: an instance that is not ready answers a forwarded sub-request with 'not the owner', so that its peer sends directly. TestRollingRestart runs with both policies.

--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -16,7 +16,14 @@
 
 // TestRollingRestart restarts every entry and control instance in turn under load that comes through a balancer, and counts the requests that were cut off.
 func TestRollingRestart(t *testing.T) {
+	for _, policy := range []string{"two-choices", "owner"} {
+		t.Run(policy, func(t *testing.T) { restartAll(t, policy) })
+	}
+}
+
+func restartAll(t *testing.T, policy string) {
 	f := newFleet(t, plan{
+		policy:   policy,
 		controls: 3,
 		entries:  4,
 		zones:    2,
--- a/internal/transport/gateway/forward.go
+++ b/internal/transport/gateway/forward.go
@@ -25,6 +25,14 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoDeadline)
 	}
+	if !s.gateway.isReady() {
+		// Without the upstreams, a share or time left, its word on what is held would mislead the peer.
+		return nil, noReply(gatherer.Return{
+			Failure: gatherer.Failure{
+				OwnerLost: true,
+			},
+		})
+	}
 	returned, err := s.gateway.serveForwarded(ctx, gatherer.Forwarded{
 		ID:        s.gateway.lastQuery.Add(1),
 		RequestID: request.Msg.GetRequestId(),
