--- a/integration/versions_test.go
+++ b/integration/versions_test.go
@@ -235,7 +235,14 @@
 
 // TestWrongReplies lets the stand-ins answer wrongly in every way at once, for callers that often time out.
 func TestWrongReplies(t *testing.T) {
+	for _, policy := range []string{"two-choices", "owner"} {
+		t.Run(policy, func(t *testing.T) { checkWrongReplies(t, policy) })
+	}
+}
+
+func checkWrongReplies(t *testing.T, policy string) {
 	f := newFleet(t, plan{
+		policy:   policy,
 		controls: 1,
 		entries:  4,
 		zones:    2,
