Name the test driver and the stand-in's connections for what they are

Cause: 'desk' and 'doors' were metaphors that a reader had to be told. Change: driver in the gatherer's tests, connections in the stand-in. Conclusion: names only.

--- a/internal/coordination/gatherer/bench_test.go
+++ b/internal/coordination/gatherer/bench_test.go
@@ -20,19 +20,19 @@
 }
 
 func benchQuery(b *testing.B, policy router.Policy, shards int) {
-	d := newDesk(b, policy)
+	d := newDriver(b, policy)
 	config := &wire.Config{
 		Revision: 2,
 		Services: []*wire.Service{
 			{
-				Name: deskService,
+				Name: driverService,
 			},
 		},
 	}
 	weights := make([]uint64, shards)
 	for i := range shards {
 		weights[i] = 1
-		config.Services[0].Shards = append(config.Services[0].Shards, deskShard(i))
+		config.Services[0].Shards = append(config.Services[0].Shards, driverShard(i))
 	}
 	d.machine.Registrar = registrar.New()
 	d.machine.Configure(d.now, config)
@@ -51,10 +51,10 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(shards), "ns/sub-request")
 }
 
-func runQuery(b *testing.B, d *desk, id uint64) {
+func runQuery(b *testing.B, d *driver, id uint64) {
 	d.machine.Start(d.now, Query{
 		ID:       id,
-		Service:  deskService,
+		Service:  driverService,
 		Limit:    10,
 		Required: wire.CoverageWhole,
 		Arrived:  d.now,
--- a/internal/coordination/gatherer/driver_test.go
+++ b/internal/coordination/gatherer/driver_test.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	deskService = "tenants"
-	deskLimit   = 100
-	deskSlots   = 2
+	driverService = "tenants"
+	driverLimit   = 100
+	driverSlots   = 2
 )
 
 // failer is what both testing.T and rapid.T offer.
@@ -28,8 +28,8 @@
 	Fatalf(format string, args ...any)
 }
 
-// desk drives one machine by hand: it holds what was sent and what was answered.
-type desk struct {
+// driver drives one machine by hand: it holds what was sent and what was answered.
+type driver struct {
 	t         failer
 	machine   *Machine
 	now       time.Time
@@ -54,8 +54,8 @@
 	m.Run()
 }
 
-func newDesk(t failer, policy router.Policy) *desk {
-	d := &desk{
+func newDriver(t failer, policy router.Policy) *driver {
+	d := &driver{
 		t:         t,
 		machine:   New(registrar.New(), router.New(policy, rand.New(rand.NewPCG(1, 2))), 0),
 		now:       time.Unix(1_000_000, 0),
@@ -70,12 +70,12 @@
 		Revision: 1,
 		Services: []*wire.Service{
 			{
-				Name: deskService,
+				Name: driverService,
 			},
 		},
 	}
 	for i := range 20 {
-		config.Services[0].Shards = append(config.Services[0].Shards, deskShard(i))
+		config.Services[0].Shards = append(config.Services[0].Shards, driverShard(i))
 	}
 	d.machine.Configure(d.now, config)
 	// A working instance has earned its budget; these tests are not about it.
@@ -85,17 +85,17 @@
 	return d
 }
 
-func deskShard(i int) string { return fmt.Sprintf("s%02d", i) }
+func driverShard(i int) string { return fmt.Sprintf("s%02d", i) }
 
 // version sets the shards of a version, s00 onwards, by weight.
-func (d *desk) version(version uint64, weights ...uint64) {
+func (d *driver) version(version uint64, weights ...uint64) {
 	manifest := &wire.Manifest{
-		Service: deskService,
+		Service: driverService,
 		Version: version,
 	}
 	for i, weight := range weights {
 		manifest.Shards = append(manifest.Shards, &wire.ShardWeight{
-			Shard:  deskShard(i),
+			Shard:  driverShard(i),
 			Weight: weight,
 		})
 	}
@@ -103,24 +103,24 @@
 }
 
 // hold announces that the upstream holds these shards of the version, besides what it holds already.
-func (d *desk) hold(upstream string, version uint64, shards ...int) {
+func (d *driver) hold(upstream string, version uint64, shards ...int) {
 	for _, i := range shards {
 		d.holdings[upstream] = append(d.holdings[upstream], &wire.Holding{
-			Service: deskService,
+			Service: driverService,
 			Version: version,
-			Shard:   deskShard(i),
+			Shard:   driverShard(i),
 		})
 	}
 	d.announce(upstream, false)
 }
 
 // withdraw announces that the upstream no longer holds the version.
-func (d *desk) withdraw(upstream string, version uint64) {
+func (d *driver) withdraw(upstream string, version uint64) {
 	d.holdings[upstream] = slices.DeleteFunc(d.holdings[upstream], func(h *wire.Holding) bool { return h.GetVersion() == version })
 	d.announce(upstream, false)
 }
 
-func (d *desk) announce(upstream string, leaving bool) {
+func (d *driver) announce(upstream string, leaving bool) {
 	d.t.Helper()
 	d.sequence++
 	ann := &wire.Announcement{
@@ -129,7 +129,7 @@
 		Zone:        d.zone,
 		Incarnation: 1,
 		Sequence:    d.sequence,
-		Slots:       deskSlots,
+		Slots:       driverSlots,
 		Connections: 25,
 		LeaseMs:     60_000,
 		Leaving:     leaving,
@@ -146,13 +146,13 @@
 }
 
 // ask starts a query that wants everything, and returns its id.
-func (d *desk) ask(text string, timeout time.Duration) uint64 {
+func (d *driver) ask(text string, timeout time.Duration) uint64 {
 	d.nextQuery++
 	d.machine.Start(d.now, Query{
 		ID:       d.nextQuery,
-		Service:  deskService,
+		Service:  driverService,
 		Text:     text,
-		Limit:    deskLimit,
+		Limit:    driverLimit,
 		Required: wire.CoverageWhole,
 		Arrived:  d.now,
 		Deadline: d.now.Add(timeout),
@@ -161,13 +161,13 @@
 	return d.nextQuery
 }
 
-func (d *desk) tick(passed time.Duration) {
+func (d *driver) tick(passed time.Duration) {
 	d.now = d.now.Add(passed)
 	d.machine.Tick(d.now)
 	d.collect()
 }
 
-func (d *desk) collect() {
+func (d *driver) collect() {
 	d.t.Helper()
 	actions := d.machine.Take()
 	for _, id := range actions.Cancels {
@@ -189,7 +189,7 @@
 }
 
 // checkSlots fails the test where an owner has more in flight than the slots and the one on its way.
-func (d *desk) checkSlots() {
+func (d *driver) checkSlots() {
 	d.t.Helper()
 	if d.machine.Router.Policy() != router.Owner {
 		return
@@ -197,17 +197,17 @@
 	count := map[string]int{}
 	for _, upstream := range d.running {
 		count[upstream]++
-		if count[upstream] > deskSlots+1 {
+		if count[upstream] > driverSlots+1 {
 			d.t.Fatalf("%d in flight at %s", count[upstream], upstream)
 		}
 	}
 }
 
 // take removes and returns the first send that fits, or fails the test.
-func (d *desk) take(shard int) Send {
+func (d *driver) take(shard int) Send {
 	d.t.Helper()
 	for i, send := range d.sends {
-		if send.Request.GetShard() == deskShard(shard) {
+		if send.Request.GetShard() == driverShard(shard) {
 			d.sends = slices.Delete(d.sends, i, i+1)
 			return send
 		}
@@ -217,7 +217,7 @@
 }
 
 func goodReply(send Send) *wire.SearchResponse {
-	rows := deskRows(send.Request.GetVersion(), send.Request.GetShard(), send.Request.GetQuery())
+	rows := driverRows(send.Request.GetVersion(), send.Request.GetShard(), send.Request.GetQuery())
 	return &wire.SearchResponse{
 		Attempt:  send.Request.GetAttempt(),
 		Shard:    send.Request.GetShard(),
@@ -228,7 +228,7 @@
 	}
 }
 
-func (d *desk) reply(send Send, change ...func(*wire.SearchResponse)) {
+func (d *driver) reply(send Send, change ...func(*wire.SearchResponse)) {
 	d.t.Helper()
 	reply := goodReply(send)
 	for _, f := range change {
@@ -240,7 +240,7 @@
 	d.collect()
 }
 
-func (d *desk) fail(send Send, failure Failure) {
+func (d *driver) fail(send Send, failure Failure) {
 	d.t.Helper()
 	d.now = d.now.Add(time.Millisecond)
 	delete(d.running, send.Request.GetAttempt())
@@ -249,7 +249,7 @@
 }
 
 // replyAll answers everything that is sent until nothing is.
-func (d *desk) replyAll() {
+func (d *driver) replyAll() {
 	d.t.Helper()
 	for len(d.sends) > 0 {
 		send := d.sends[0]
@@ -258,7 +258,7 @@
 	}
 }
 
-func (d *desk) answer(query uint64) Answer {
+func (d *driver) answer(query uint64) Answer {
 	d.t.Helper()
 	answer, ok := d.answers[query]
 	if !ok {
@@ -267,8 +267,8 @@
 	return answer
 }
 
-// deskRows is a shard's data in one version; the last row stands in the neighbour shard too.
-func deskRows(version uint64, shard, query string) []*wire.Row {
+// driverRows is a shard's data in one version; the last row stands in the neighbour shard too.
+func driverRows(version uint64, shard, query string) []*wire.Row {
 	var rows []*wire.Row
 	for i := range 3 {
 		rows = append(rows, &wire.Row{
@@ -285,7 +285,7 @@
 }
 
 // check compares an answer row by row with the data of the version it names, and its coverage with the exact weight.
-func (d *desk) check(answer Answer) {
+func (d *driver) check(answer Answer) {
 	d.t.Helper()
 	if answer.Outcome != wire.Outcome_OUTCOME_ANSWERED {
 		if len(answer.Rows) > 0 || answer.Coverage > 0 {
@@ -305,7 +305,7 @@
 			continue
 		}
 		covered += s.GetWeight()
-		parts = append(parts, deskRows(answer.Version, s.GetShard(), answer.Query.Text))
+		parts = append(parts, driverRows(answer.Version, s.GetShard(), answer.Query.Text))
 	}
 	if want := uint32(covered * wire.CoverageWhole / total); answer.Coverage != want {
 		d.t.Fatalf("coverage %d, want %d: %+v", answer.Coverage, want, answer)
--- a/internal/coordination/gatherer/forget_test.go
+++ b/internal/coordination/gatherer/forget_test.go
@@ -12,7 +12,7 @@
 func TestForgetsDeparted(t *testing.T) {
 	for _, policy := range []router.Policy{router.RoundRobin, router.TwoChoices, router.Owner} {
 		t.Run(string(policy), func(t *testing.T) {
-			d := newDesk(t, policy)
+			d := newDriver(t, policy)
 			d.version(1, 1)
 			for i := range 50 {
 				d.hold(fmt.Sprintf("u%02d", i), 1, 0)
--- a/internal/coordination/gatherer/load_test.go
+++ b/internal/coordination/gatherer/load_test.go
@@ -165,19 +165,19 @@
 }
 
 func (m *model) addMachine(i int) {
-	d := newDesk(m.t, m.policy)
+	d := newDriver(m.t, m.policy)
 	machine := New(registrar.New(), router.New(m.policy, rand.New(rand.NewPCG(m.seed, uint64(i)))), 0)
 	config := &wire.Config{
 		Revision: 1,
 		Services: []*wire.Service{
 			{
-				Name: deskService,
+				Name: driverService,
 			},
 		},
 	}
 	weights := make([]uint64, loadShards)
 	for s := range loadShards {
-		config.Services[0].Shards = append(config.Services[0].Shards, deskShard(s))
+		config.Services[0].Shards = append(config.Services[0].Shards, driverShard(s))
 		weights[s] = 1
 	}
 	machine.Configure(m.now, config)
@@ -185,7 +185,7 @@
 	d.version(1, weights...)
 	for s := range loadShards {
 		for r := range loadReplicas {
-			upstream := deskShard(s) + string(rune('a'+r))
+			upstream := driverShard(s) + string(rune('a'+r))
 			d.zone = zoneName(s + r)
 			d.hold(upstream, 1, s)
 			m.replicas[upstream] = &fakeReplica{
@@ -245,7 +245,7 @@
 			}
 			machine.Start(m.now, Query{
 				ID:       id,
-				Service:  deskService,
+				Service:  driverService,
 				Limit:    10,
 				Required: wire.CoverageWhole,
 				Arrived:  m.now,
@@ -371,7 +371,7 @@
 }
 
 func (m *model) serve(replica *fakeReplica) {
-	for replica.running < deskSlots && len(replica.queue) > 0 {
+	for replica.running < driverSlots && len(replica.queue) > 0 {
 		call := replica.queue[0]
 		replica.queue = replica.queue[1:]
 		if call.cancelled {
@@ -418,7 +418,7 @@
 func (m *model) isSlow(upstream string) bool {
 	period := int(m.now.Sub(m.begin) / slowTime)
 	shard := m.replicas[upstream].shard
-	return (shard+period)%5 == 0 && upstream == deskShard(shard)+string(rune('a'+(period/5+shard)%loadReplicas))
+	return (shard+period)%5 == 0 && upstream == driverShard(shard)+string(rune('a'+(period/5+shard)%loadReplicas))
 }
 
 // TestLoadAgainstBaselines compares the policies in virtual time with one replica in ten slow at any moment, with none, and with too many queries.
--- a/internal/coordination/gatherer/machine_test.go
+++ b/internal/coordination/gatherer/machine_test.go
@@ -14,7 +14,7 @@
 func TestSnapshotAndCoverage(t *testing.T) {
 	cases := []struct {
 		name     string
-		play     func(d *desk) uint64
+		play     func(d *driver) uint64
 		version  uint64
 		coverage uint32
 		missing  []string
@@ -36,7 +36,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			d := newDesk(t, router.TwoChoices)
+			d := newDriver(t, router.TwoChoices)
 			answer := d.answer(c.play(d))
 			if answer.Outcome != wire.Outcome_OUTCOME_ANSWERED || answer.Version != c.version || answer.Coverage != c.coverage || !slices.Equal(answer.Missing, c.missing) {
 				t.Errorf("got %v version %d coverage %d missing %v", answer.Outcome, answer.Version, answer.Coverage, answer.Missing)
@@ -46,14 +46,14 @@
 }
 
 // pair announces two shards of equal weight, each with replicas a and b.
-func pair(d *desk) {
+func pair(d *driver) {
 	d.version(1, 1, 1)
 	d.version(2, 1, 1)
 	d.hold("a", 1, 0, 1)
 	d.hold("b", 1, 0, 1)
 }
 
-func newerAppears(d *desk) uint64 {
+func newerAppears(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.hold("a", 2, 0, 1)
@@ -62,7 +62,7 @@
 	return query
 }
 
-func newerAnswered(d *desk) uint64 {
+func newerAnswered(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.reply(d.take(0), func(r *wire.SearchResponse) { r.Version = 2 })
@@ -70,7 +70,7 @@
 	return query
 }
 
-func notHeld(d *desk) uint64 {
+func notHeld(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.fail(d.take(0), Failure{
@@ -80,7 +80,7 @@
 	return query
 }
 
-func withdrawn(d *desk) uint64 {
+func withdrawn(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.reply(d.take(0))
@@ -92,14 +92,14 @@
 	return query
 }
 
-func switchBoth(d *desk) {
+func switchBoth(d *driver) {
 	for _, upstream := range []string{"a", "b"} {
 		d.withdraw(upstream, 1)
 		d.hold(upstream, 2, 0, 1)
 	}
 }
 
-func withdrawnLate(d *desk) uint64 {
+func withdrawnLate(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", 50*time.Millisecond)
 	d.reply(d.take(0))
@@ -111,7 +111,7 @@
 	return query
 }
 
-func withdrawnAlone(d *desk) uint64 {
+func withdrawnAlone(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.reply(d.take(0))
@@ -123,7 +123,7 @@
 	return query
 }
 
-func repartition(d *desk) uint64 {
+func repartition(d *driver) uint64 {
 	d.version(1, 1, 1, 1, 1, 1, 1, 1, 1)
 	d.version(2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
 	d.hold("a", 1, 0, 1, 2, 3, 4, 5, 6, 7)
@@ -140,7 +140,7 @@
 	return query
 }
 
-func bothShort(d *desk) uint64 {
+func bothShort(d *driver) uint64 {
 	d.version(1, 1, 1, 1)
 	d.version(2, 1, 1, 1)
 	d.hold("a", 1, 0, 1)
@@ -150,7 +150,7 @@
 	return query
 }
 
-func unannounced(d *desk) uint64 {
+func unannounced(d *driver) uint64 {
 	d.version(1, 1, 3_000_000)
 	d.hold("a", 1, 1)
 	query := d.ask("q", second)
@@ -158,7 +158,7 @@
 	return query
 }
 
-func appears(d *desk) uint64 {
+func appears(d *driver) uint64 {
 	d.version(1, 1, 1)
 	d.hold("a", 1, 0)
 	query := d.ask("q", second)
@@ -168,7 +168,7 @@
 	return query
 }
 
-func allLost(d *desk) uint64 {
+func allLost(d *driver) uint64 {
 	d.version(1, 1, 3)
 	d.hold("a", 1, 0, 1)
 	d.hold("b", 1, 1)
@@ -179,7 +179,7 @@
 	return query
 }
 
-func cutShort(d *desk) uint64 {
+func cutShort(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.reply(d.take(0), func(r *wire.SearchResponse) { r.Complete = false })
@@ -188,7 +188,7 @@
 	return query
 }
 
-func timeUp(d *desk) uint64 {
+func timeUp(d *driver) uint64 {
 	pair(d)
 	query := d.ask("q", second)
 	d.reply(d.take(0))
@@ -201,7 +201,7 @@
 	return query
 }
 
-func strayReplies(d *desk) uint64 {
+func strayReplies(d *driver) uint64 {
 	pair(d)
 	gone := d.ask("gone", second)
 	stale := d.take(0)
@@ -213,7 +213,7 @@
 	first := d.take(0)
 	d.reply(stale)
 	d.reply(first, func(r *wire.SearchResponse) { r.Attempt = stale.Request.GetAttempt() })
-	d.reply(d.take(1), func(r *wire.SearchResponse) { r.Shard = deskShard(0) })
+	d.reply(d.take(1), func(r *wire.SearchResponse) { r.Shard = driverShard(0) })
 	d.reply(first)
 	slices.Reverse(d.sends)
 	doubled := d.sends[0]
@@ -227,7 +227,7 @@
 
 // TestGivenUpAtOnce shows that a shard without hope doesn't hold the answer back.
 func TestGivenUpAtOnce(t *testing.T) {
-	d := newDesk(t, router.TwoChoices)
+	d := newDriver(t, router.TwoChoices)
 	query := allLost(d)
 	answer := d.answer(query)
 	if waited := answer.Finished.Sub(answer.Query.Arrived); waited > 10*time.Millisecond {
@@ -237,7 +237,7 @@
 
 // TestNoStormAtOneShard bounds the attempts of a shard whose replicas all fail, and what other queries send to a replica that does.
 func TestNoStormAtOneShard(t *testing.T) {
-	d := newDesk(t, router.TwoChoices)
+	d := newDriver(t, router.TwoChoices)
 	d.version(1, 1)
 	d.hold("a", 1, 0)
 	d.hold("b", 1, 0)
--- a/internal/coordination/gatherer/property_test.go
+++ b/internal/coordination/gatherer/property_test.go
@@ -14,12 +14,12 @@
 // TestAnyOrder plays random events in random order; every answer is checked row by row against the one version it names.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := newDesk(t, rapid.SampledFrom(router.Policies()).Draw(t, "policy"))
+		d := newDriver(t, rapid.SampledFrom(router.Policies()).Draw(t, "policy"))
 		d.version(1, 1, 2, 3, 4, 5, 6, 7, 8)
 		d.version(2, 12, 11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1)
 		d.version(3, 1, 1, 1)
 		s := &storm{
-			desk: d,
+			driver: d,
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"ask":      s.ask,
@@ -42,7 +42,7 @@
 
 // storm is the random events.
 type storm struct {
-	desk *desk
+	driver *driver
 	// old are attempts whose reply may come again.
 	old   []Send
 	asked []uint64
@@ -51,7 +51,7 @@
 func (s *storm) ask(t *rapid.T) {
 	text := rapid.SampledFrom([]string{"same", "other"}).Draw(t, "text")
 	timeout := rapid.IntRange(5, 1000).Draw(t, "timeout")
-	s.asked = append(s.asked, s.desk.ask(text, time.Duration(timeout)*time.Millisecond))
+	s.asked = append(s.asked, s.driver.ask(text, time.Duration(timeout)*time.Millisecond))
 }
 
 func drawUpstream(t *rapid.T) string {
@@ -64,27 +64,27 @@
 
 func (s *storm) hold(t *rapid.T) {
 	version := drawVersion(t)
-	shards := len(s.desk.manifests[version].GetShards())
-	s.desk.hold(drawUpstream(t), version, rapid.IntRange(0, shards-1).Draw(t, "shard"))
+	shards := len(s.driver.manifests[version].GetShards())
+	s.driver.hold(drawUpstream(t), version, rapid.IntRange(0, shards-1).Draw(t, "shard"))
 }
 
 func (s *storm) holdAll(t *rapid.T) {
 	version := drawVersion(t)
-	for i := range s.desk.manifests[version].GetShards() {
-		s.desk.hold(drawUpstream(t), version, i)
+	for i := range s.driver.manifests[version].GetShards() {
+		s.driver.hold(drawUpstream(t), version, i)
 	}
 }
 
 func (s *storm) withdraw(t *rapid.T) {
-	s.desk.withdraw(drawUpstream(t), drawVersion(t))
+	s.driver.withdraw(drawUpstream(t), drawVersion(t))
 }
 
 func (s *storm) leave(t *rapid.T) {
-	s.desk.machine.Registrar.MarkLeaving(drawUpstream(t), 1)
+	s.driver.machine.Registrar.MarkLeaving(drawUpstream(t), 1)
 }
 
 func (s *storm) reply(t *rapid.T) {
-	d := s.desk
+	d := s.driver
 	if len(d.sends) == 0 {
 		return
 	}
@@ -104,13 +104,13 @@
 	}
 	asked := rapid.SampledFrom(s.old).Draw(t, "asked")
 	replied := rapid.SampledFrom(s.old).Draw(t, "replied")
-	delete(s.desk.running, asked.Request.GetAttempt())
-	s.desk.machine.Reply(s.desk.now, asked.Request.GetAttempt(), goodReply(replied))
-	s.desk.collect()
+	delete(s.driver.running, asked.Request.GetAttempt())
+	s.driver.machine.Reply(s.driver.now, asked.Request.GetAttempt(), goodReply(replied))
+	s.driver.collect()
 }
 
 func (s *storm) fail(t *rapid.T) {
-	d := s.desk
+	d := s.driver
 	if len(d.sends) == 0 {
 		return
 	}
@@ -125,12 +125,12 @@
 	if len(s.asked) == 0 {
 		return
 	}
-	s.desk.machine.Abandon(s.desk.now, rapid.SampledFrom(s.asked).Draw(t, "query"))
-	s.desk.collect()
+	s.driver.machine.Abandon(s.driver.now, rapid.SampledFrom(s.asked).Draw(t, "query"))
+	s.driver.collect()
 }
 
 func (s *storm) tick(t *rapid.T) {
-	s.desk.tick(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+	s.driver.tick(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
 }
 
 func drawChange(t *rapid.T) func(*wire.SearchResponse) {
@@ -139,7 +139,7 @@
 		func(*wire.SearchResponse) {},
 		func(r *wire.SearchResponse) { r.Version++ },
 		func(r *wire.SearchResponse) { r.Attempt++ },
-		func(r *wire.SearchResponse) { r.Shard = deskShard(11) },
+		func(r *wire.SearchResponse) { r.Shard = driverShard(11) },
 		func(r *wire.SearchResponse) { r.Complete = false },
 		func(r *wire.SearchResponse) { r.Rows = nil },
 	}).Draw(t, "change")
--- a/internal/transport/responder/connections.go
+++ b/internal/transport/responder/connections.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// doors counts the connections that carry requests, keeps them within the limit, and makes each slow to open.
-type doors struct {
+// connections counts the connections that carry requests, keeps them within the limit, and makes each slow to open.
+type connections struct {
 	board    *switchboard
 	recorder *recorder
 	mutex    sync.Mutex
@@ -18,8 +18,8 @@
 
 type connectionKey struct{}
 
-func newDoors(board *switchboard, r *recorder) *doors {
-	return &doors{
+func newConnections(board *switchboard, r *recorder) *connections {
+	return &connections{
 		board:    board,
 		recorder: r,
 		serving:  map[net.Conn]bool{},
@@ -27,43 +27,43 @@
 }
 
 // remember lets the handler know which connection a request came on.
-func (d *doors) remember(ctx context.Context, conn net.Conn) context.Context {
+func (c *connections) remember(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
 // watch forgets a connection that has closed.
-func (d *doors) watch(conn net.Conn, state http.ConnState) {
+func (c *connections) watch(conn net.Conn, state http.ConnState) {
 	if state != http.StateClosed && state != http.StateHijacked {
 		return
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if !d.serving[conn] {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.serving[conn] {
 		return
 	}
-	delete(d.serving, conn)
-	d.recorder.add(func(r *Record) *int64 { return &r.Connections }, -1)
+	delete(c.serving, conn)
+	c.recorder.add(func(r *Record) *int64 { return &r.Connections }, -1)
 }
 
 // enter counts the request's connection, and reports whether it is within the limit; those that only read the record don't count.
-func (d *doors) enter(ctx context.Context) bool {
+func (c *connections) enter(ctx context.Context) bool {
 	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
 	if !ok {
 		return true
 	}
-	limit := int(d.board.get().ConnectionLimit)
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.serving[conn] {
+	limit := int(c.board.get().ConnectionLimit)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.serving[conn] {
 		return true
 	}
-	if limit > 0 && len(d.serving) >= limit {
-		d.recorder.add(func(r *Record) *int64 { return &r.RefusedConnection }, 1)
+	if limit > 0 && len(c.serving) >= limit {
+		c.recorder.add(func(r *Record) *int64 { return &r.RefusedConnection }, 1)
 		_ = conn.Close()
 		return false
 	}
-	d.serving[conn] = true
-	d.recorder.open(int64(len(d.serving)))
+	c.serving[conn] = true
+	c.recorder.open(int64(len(c.serving)))
 	return true
 }
 
@@ -110,7 +110,7 @@
 // guard admits a request's connection, adds the one-way delays, and cuts off some replies.
 func (r *Responder) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if !r.doors.enter(request.Context()) {
+		if !r.connections.enter(request.Context()) {
 			panic(http.ErrAbortHandler)
 		}
 		s := r.board.get()
--- a/internal/transport/responder/responder.go
+++ b/internal/transport/responder/responder.go
@@ -22,17 +22,17 @@
 
 // Responder is one running stand-in.
 type Responder struct {
-	settings  *checker.Standin
-	log       logr.Logger
-	board     *switchboard
-	recorder  *recorder
-	doors     *doors
-	server    *listener.Server
-	announcer *announcer.Announcer
-	slots     chan struct{}
-	load      *load
-	previous  atomic.Pointer[wire.SearchResponse]
-	leaving   atomic.Bool
+	settings    *checker.Standin
+	log         logr.Logger
+	board       *switchboard
+	recorder    *recorder
+	connections *connections
+	server      *listener.Server
+	announcer   *announcer.Announcer
+	slots       chan struct{}
+	load        *load
+	previous    atomic.Pointer[wire.SearchResponse]
+	leaving     atomic.Bool
 }
 
 // New starts a stand-in that announces itself.
@@ -45,7 +45,7 @@
 		load:     &load{},
 		slots:    make(chan struct{}, settings.Slots),
 	}
-	r.doors = newDoors(r.board, r.recorder)
+	r.connections = newConnections(r.board, r.recorder)
 	socket, err := listener.Listen(settings.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in %s: %w", settings.Upstream, err)
@@ -55,8 +55,8 @@
 		board:    r.board,
 	}
 	r.server = listener.NewOn(slow, r.handler(), listener.Hooks{
-		State:   r.doors.watch,
-		Context: r.doors.remember,
+		State:   r.connections.watch,
+		Context: r.connections.remember,
 	})
 	client := listener.NewClient()
 	client.Transport = &muffler{
