Read error details and instance settings in one place each

Cause: three functions looked for a detail in a refusal, and three verbs read an instance's settings, each with the same lines. Change: listener.DetailOf and readSettings, both generic.

--- a/internal/transport/gateway/control.go
+++ b/internal/transport/gateway/control.go
@@ -74,7 +74,7 @@
 				return nil, err
 			}
 			last = err
-			hint := leaderIn(err)
+			hint := listener.DetailOf[*wire.NotLeader](err).GetLeaderAddress()
 			c.setLeader(hint)
 			if hint != "" && !slices.Contains(addresses, hint) {
 				addresses = append(addresses, hint)
@@ -128,23 +128,6 @@
 	c.silent[address] = time.Now()
 }
 
-func leaderIn(err error) string {
-	var refusal *connect.Error
-	if !errors.As(err, &refusal) {
-		return ""
-	}
-	for _, detail := range refusal.Details() {
-		value, err := detail.Value()
-		if err != nil {
-			continue
-		}
-		if found, ok := value.(*wire.NotLeader); ok {
-			return found.GetLeaderAddress()
-		}
-	}
-	return ""
-}
-
 func pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-time.After(wait):
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -21,25 +21,17 @@
 const shutdownLimit = 2 * time.Minute
 
 func (o *Operator) form(flags *flag.FlagSet, arguments []string) error {
-	path := flags.String("settings", "", "settings file of the control instance")
-	if err := parse(flags, arguments, 0); err != nil {
-		return err
-	}
-	settings, err := checker.ReadControl(*path)
+	settings, err := readSettings(flags, arguments, "control", checker.ReadControl)
 	if err != nil {
-		return settingsError(*path, err)
+		return err
 	}
 	return storer.Form(settings.DataFolder, settings.Instance, settings.WireMembers())
 }
 
 func (o *Operator) control(flags *flag.FlagSet, arguments []string) error {
-	path := flags.String("settings", "", "settings file of the control instance")
-	if err := parse(flags, arguments, 0); err != nil {
-		return err
-	}
-	settings, err := checker.ReadControl(*path)
+	settings, err := readSettings(flags, arguments, "control", checker.ReadControl)
 	if err != nil {
-		return settingsError(*path, err)
+		return err
 	}
 	c, err := controller.New(settings, logger.New(o.errOut, settings.LogLevel))
 	if err != nil {
@@ -50,13 +42,9 @@
 }
 
 func (o *Operator) entry(flags *flag.FlagSet, arguments []string) error {
-	path := flags.String("settings", "", "settings file of the entry instance")
-	if err := parse(flags, arguments, 0); err != nil {
-		return err
-	}
-	settings, err := checker.ReadEntry(*path)
+	settings, err := readSettings(flags, arguments, "entry", checker.ReadEntry)
 	if err != nil {
-		return settingsError(*path, err)
+		return err
 	}
 	g, err := gateway.New(settings, logger.New(o.errOut, settings.LogLevel))
 	if err != nil {
@@ -94,6 +82,19 @@
 	return nil
 }
 
+// readSettings parses a command line that takes just the settings file of an instance, and reads the file.
+func readSettings[T any](flags *flag.FlagSet, arguments []string, kind string, read func(path string) (*T, error)) (*T, error) {
+	path := flags.String("settings", "", "settings file of the "+kind+" instance")
+	if err := parse(flags, arguments, 0); err != nil {
+		return nil, err
+	}
+	settings, err := read(*path)
+	if err != nil {
+		return nil, settingsError(*path, err)
+	}
+	return settings, nil
+}
+
 func settingsError(path string, err error) error {
 	var usage *UsageError
 	if errors.As(err, &usage) {
--- a/internal/transport/sender/forward.go
+++ b/internal/transport/sender/forward.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -52,7 +52,7 @@
 	if err != nil {
 		end.Err = err
 		end.TimeUp = ctx.Err() != nil
-		end.NotForwarded = notForwarded(err)
+		end.NotForwarded = listener.DetailOf[*wire.NotForwarded](err)
 	} else {
 		end.Reply = response.Msg.GetSearch()
 		end.Wait = time.Duration(response.Msg.GetWaitUs()) * time.Microsecond
@@ -60,21 +60,3 @@
 	c.sender.forget(end.Attempt)
 	c.sender.ends <- end
 }
-
-// notForwarded returns the owner's own word why it has no reply, or nil.
-func notForwarded(err error) *wire.NotForwarded {
-	var refusal *connect.Error
-	if !errors.As(err, &refusal) {
-		return nil
-	}
-	for _, detail := range refusal.Details() {
-		value, err := detail.Value()
-		if err != nil {
-			continue
-		}
-		if found, ok := value.(*wire.NotForwarded); ok {
-			return found
-		}
-	}
-	return nil
-}
--- a/internal/transport/sender/once.go
+++ b/internal/transport/sender/once.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/coordination/runner"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -89,7 +90,7 @@
 			Leaving:  response.Msg.GetLeaving(),
 		}
 	}
-	refusal := notStarted(err)
+	refusal := listener.DetailOf[*wire.NotStarted](err)
 	return runner.DispatchEnd{
 		NotWritten: o.seal(),
 		NotStarted: refusal != nil,
--- a/internal/transport/sender/search.go
+++ b/internal/transport/sender/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -127,28 +126,10 @@
 	response, err := c.client.Search(ctx, connect.NewRequest(c.request))
 	if err != nil {
 		end.Err = err
-		end.NotStarted = notStarted(err)
+		end.NotStarted = listener.DetailOf[*wire.NotStarted](err)
 	} else {
 		end.Reply = response.Msg
 	}
 	c.sender.forget(end.Attempt)
 	c.sender.ends <- end
 }
-
-// notStarted returns the upstream's own word that it began no work, or nil.
-func notStarted(err error) *wire.NotStarted {
-	var refusal *connect.Error
-	if !errors.As(err, &refusal) {
-		return nil
-	}
-	for _, detail := range refusal.Details() {
-		value, err := detail.Value()
-		if err != nil {
-			continue
-		}
-		if found, ok := value.(*wire.NotStarted); ok {
-			return found
-		}
-	}
-	return nil
-}
