Name the field of a request for an unknown service

Cause: an answer for a service that is not declared had a reason and a 404 but named no field, which the table of bad input asks of every mistake. Change: answers have a field, 'service' here. TestBadInput asks for it. Before: both cases failed. After: TestBadInput passes. Conclusion: every case of the table names its field.

--- a/integration/input_test.go
+++ b/integration/input_test.go
@@ -37,8 +37,8 @@
 		{"empty key", "tenants/run", `{"key":"","key-time":"2026-01-01T00:00:00Z","timeout-ms":10}`, http.StatusBadRequest, "key"},
 		{"long key", "tenants/run", `{"key":"` + strings.Repeat("k", parser.MaxKey+1) + `","key-time":"2026-01-01T00:00:00Z","timeout-ms":10}`, http.StatusBadRequest, "key"},
 		{"missing key time", "tenants/run", `{"key":"k","timeout-ms":10}`, http.StatusBadRequest, "key-time"},
-		{"unknown service for a query", "none/query", `{"query":"x","timeout-ms":10}`, http.StatusNotFound, ""},
-		{"unknown service for a run", "none/run", `{"key":"k","key-time":"2026-01-01T00:00:00Z","timeout-ms":10}`, http.StatusNotFound, ""},
+		{"unknown service for a query", "none/query", `{"query":"x","timeout-ms":10}`, http.StatusNotFound, "service"},
+		{"unknown service for a run", "none/run", `{"key":"k","key-time":"2026-01-01T00:00:00Z","timeout-ms":10}`, http.StatusNotFound, "service"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/protocol/parser/answer.go
+++ b/internal/protocol/parser/answer.go
@@ -15,9 +15,11 @@
 
 // QueryAnswer is what a caller is told about its search.
 type QueryAnswer struct {
-	RequestID       string   `json:"request-id"`
-	Outcome         string   `json:"outcome"`
-	Reason          string   `json:"reason,omitempty"`
+	RequestID string `json:"request-id"`
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason,omitempty"`
+	// Field is the part of the request that is wrong, or empty.
+	Field           string   `json:"field,omitempty"`
 	IndexVersion    uint64   `json:"index-version"`
 	Coverage        float64  `json:"coverage"`
 	CoverageMet     bool     `json:"coverage-met"`
@@ -34,8 +36,10 @@
 	Key       string `json:"key"`
 	Outcome   string `json:"outcome"`
 	Reason    string `json:"reason,omitempty"`
-	Result    string `json:"result,omitempty"`
-	Repeated  bool   `json:"repeated"`
+	// Field is the part of the request that is wrong, or empty.
+	Field    string `json:"field,omitempty"`
+	Result   string `json:"result,omitempty"`
+	Repeated bool   `json:"repeated"`
 	// EarlierCalls goes with not-run: none where no earlier call of the key has run or can run, else unknown.
 	EarlierCalls    string `json:"earlier-calls,omitempty"`
 	ConfigRevision  uint64 `json:"config-revision"`
--- a/internal/transport/gateway/app.go
+++ b/internal/transport/gateway/app.go
@@ -102,6 +102,7 @@
 		RequestID:       answer.Query.RequestID,
 		Outcome:         parser.OutcomeName(answer.Outcome),
 		Reason:          string(answer.Reason),
+		Field:           wrongField(answer.Reason == gatherer.ReasonUnknownService),
 		IndexVersion:    answer.Version,
 		Coverage:        parser.CoverageShare(answer.Coverage),
 		CoverageMet:     answer.Outcome == wire.Outcome_OUTCOME_ANSWERED && answer.Coverage >= answer.Query.Required,
@@ -149,6 +150,14 @@
 	_ = ctx.JSON(answer)
 }
 
+// wrongField names the part of the path that no configuration knows, or nothing.
+func wrongField(isUnknownService bool) string {
+	if isUnknownService {
+		return "service"
+	}
+	return ""
+}
+
 func setRetryAfter(ctx iris.Context, wait time.Duration) {
 	seconds := int((wait + time.Second - 1) / time.Second)
 	ctx.Header("Retry-After", strconv.Itoa(seconds))
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -204,6 +204,7 @@
 		Key:             request.Key,
 		Outcome:         parser.OutcomeName(answer.Outcome),
 		Reason:          string(answer.Reason),
+		Field:           wrongField(answer.Reason == runner.ReasonUnknownService),
 		Result:          answer.Result,
 		Repeated:        answer.Repeated,
 		EarlierCalls:    string(answer.Earlier),
