Never put a tick off by changing its period

Cause: TestLeavingUpstream failed three times of three ('notice lost, its lease ends': 33 to 215 requests after 2 s). The slower tick for quiet times reset the ticker at each change between busy and quiet; queries that end within 5 ms changed it over and over, so it never fired and leases did not end. Ruled out: the registrar's ages (the tick was never called). Change: the period slows down only at a tick, and speeds up at most once between two ticks.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -174,13 +174,14 @@
 			return
 		case <-p.ticker.C:
 			g.machine.Tick(time.Now())
+			p.ticked(g.machine.InFlight() == 0)
 		case e := <-g.events:
 			e(time.Now())
 		case end := <-g.ends:
 			g.takeEnd(time.Now(), end)
 		}
 		g.carryOut()
-		p.pace(g.machine.InFlight() == 0)
+		p.took(g.machine.InFlight() == 0)
 	}
 }
 
--- a/internal/transport/gateway/pacer.go
+++ b/internal/transport/gateway/pacer.go
@@ -15,15 +15,20 @@
 	}
 }
 
-// pace changes the period where the loop has become quiet or busy.
-func (p *pacer) pace(isQuiet bool) {
-	if isQuiet == p.isQuiet {
+// ticked slows down where nothing is in flight at a tick; never between ticks, since each change of the period puts the next tick off.
+func (p *pacer) ticked(isQuiet bool) {
+	if !isQuiet || p.isQuiet {
 		return
 	}
-	p.isQuiet = isQuiet
-	if isQuiet {
-		p.ticker.Reset(quietPeriod)
+	p.isQuiet = true
+	p.ticker.Reset(quietPeriod)
+}
+
+// took speeds up where an event has put something in flight.
+func (p *pacer) took(isQuiet bool) {
+	if isQuiet || !p.isQuiet {
 		return
 	}
+	p.isQuiet = false
 	p.ticker.Reset(tickPeriod)
 }
