Serve the whole path on a platform's machines

Cause: nothing spoke the platform's protocol; every call got 404. Conclusion: the path stands; contract tests of the new packages follow.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -7,6 +7,8 @@
 
 	"pimentogate.example/pimentogate/internal/state/cataloger"
 	"pimentogate.example/pimentogate/internal/state/claimer"
+	"pimentogate.example/pimentogate/internal/state/enroller"
+	"pimentogate.example/pimentogate/internal/state/publisher"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -15,19 +17,26 @@
 	Confirm *wire.ConfirmResponse
 	Claim   *wire.ClaimResponse
 	Record  *wire.RecordResponse
+	Publish *wire.PublishResponse
+	Read    *wire.ReadResponse
 }
 
 // Applier is the state that the journal's commands build.
 type Applier struct {
 	Catalog *cataloger.Catalog
 	Ledger  *claimer.Ledger
+	// Publisher and Enroller hold the routes and replicas that control keeps.
+	Publisher *publisher.Publisher
+	Enroller  *enroller.Enroller
 }
 
 // New returns the empty state.
 func New() *Applier {
 	return &Applier{
-		Catalog: cataloger.New(),
-		Ledger:  claimer.New(),
+		Catalog:   cataloger.New(),
+		Ledger:    claimer.New(),
+		Publisher: publisher.New(nil),
+		Enroller:  enroller.New(nil),
 	}
 }
 
@@ -54,6 +63,21 @@
 		return Result{
 			Record: a.Ledger.Record(change.Record),
 		}, nil
+	case *wire.Command_Publish:
+		return Result{
+			Publish: &wire.PublishResponse{
+				Version: a.Publisher.Publish(change.Publish.GetPublication()),
+			},
+		}, nil
+	case *wire.Command_Enroll:
+		a.Enroller.Enroll(change.Enroll.GetReplica(), entry.GetIndex())
+		return Result{}, nil
+	case *wire.Command_Read:
+		return Result{
+			Read: &wire.ReadResponse{
+				Publication: a.Publisher.Publication(),
+			},
+		}, nil
 	default:
 		return Result{}, nil
 	}
@@ -68,6 +92,10 @@
 		Config:   a.Catalog.Config(),
 		Confirms: a.Catalog.Confirms(),
 		Claims:   a.Ledger.Claims(),
+		Fleet: &wire.FleetState{
+			Publication: a.Publisher.Publication(),
+			Replicas:    a.Enroller.Replicas(0),
+		},
 	})
 }
 
@@ -79,5 +107,7 @@
 	}
 	a.Catalog = cataloger.Restore(state.GetConfig(), state.GetConfirms())
 	a.Ledger = claimer.Restore(state.GetTimeMs(), state.GetClaims())
+	a.Publisher = publisher.New(state.GetFleet().GetPublication())
+	a.Enroller = enroller.New(state.GetFleet().GetReplicas())
 	return nil
 }
--- a/internal/state/journaler/join.go
+++ b/internal/state/journaler/join.go
@@ -9,6 +9,9 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
+// replaceAfter is the silence after which a newcomer of the same availability zone takes a member's vote: longer than a restart or a short cut.
+const replaceAfter = 6 * time.Second
+
 // ChangePendingError is the refusal of a membership change before the one under way is committed.
 type ChangePendingError struct {
 	Commit uint64
@@ -78,9 +81,12 @@
 			Leader: m.leader,
 		}
 	}
-	if m.changePending() || m.members.IsVoter(joiner.GetId()) {
+	if m.changePending() {
 		return nil
 	}
+	if m.members.IsVoter(joiner.GetId()) {
+		return m.noteZone(now, joiner)
+	}
 	next, err := m.joinStep(now, joiner)
 	if err != nil || next == nil {
 		return err
@@ -89,9 +95,18 @@
 	return err
 }
 
+// noteZone completes the record of a founder, whose availability zone only itself knew.
+func (m *Machine) noteZone(now time.Time, joiner *wire.ControlMember) error {
+	if !m.OpenMembership || m.members.Find(joiner.GetId()).GetZone() == joiner.GetZone() {
+		return nil
+	}
+	_, _, err := m.ProposeMembers(now, m.members.With(asVoter(joiner)))
+	return err
+}
+
 // joinStep returns the membership that the joiner needs next, or nil while it has to catch up.
 func (m *Machine) joinStep(now time.Time, joiner *wire.ControlMember) (Members, error) {
-	lost := m.members.lostAt(joiner)
+	lost := m.lostFor(now, joiner)
 	if m.members.Find(joiner.GetId()) == nil {
 		return m.addLearner(now, lost, joiner)
 	}
@@ -104,7 +119,29 @@
 	return m.members.With(asVoter(joiner)), nil
 }
 
+// lostFor returns the member whose place the joiner takes: the one at its address, or in an open membership one of its availability zone that has been silent for long.
+func (m *Machine) lostFor(now time.Time, joiner *wire.ControlMember) *wire.ControlMember {
+	lost := m.members.lostAt(joiner)
+	if lost != nil || !m.OpenMembership {
+		return lost
+	}
+	for _, member := range m.members {
+		if member.GetZone() == joiner.GetZone() && member.GetId() != joiner.GetId() && m.isSilent(now, member, replaceAfter) {
+			return member
+		}
+	}
+	return nil
+}
+
+// isSilent reports whether the leader has led and not heard the member for the time.
+func (m *Machine) isSilent(now time.Time, member *wire.ControlMember, since time.Duration) bool {
+	return member.GetId() != m.ID() && now.Sub(m.peer(member.GetId()).heardAt) >= since && now.Sub(m.leadsSince) >= since
+}
+
 func (m *Machine) addLearner(now time.Time, lost, joiner *wire.ControlMember) (Members, error) {
+	if lost == nil && m.OpenMembership {
+		return m.members.With(asLearner(joiner)), nil
+	}
 	if lost == nil {
 		return nil, joinError(joiner, "no control instance is known at its address; plan add-control first")
 	}
@@ -119,8 +156,7 @@
 
 // checkLost holds that the identity to be replaced has been silent since before this leader's term or for an election timeout.
 func (m *Machine) checkLost(now time.Time, lost, joiner *wire.ControlMember) error {
-	silent := now.Sub(m.peer(lost.GetId()).heardAt) >= m.timing.Election && now.Sub(m.leadsSince) >= m.timing.Election
-	if lost.GetId() == m.ID() || !silent {
+	if !m.isSilent(now, lost, m.timing.Election) {
 		return joinError(joiner, fmt.Sprintf("%q at its address was heard lately", lost.GetId()))
 	}
 	return nil
@@ -139,6 +175,7 @@
 		Id:      member.GetId(),
 		Address: member.GetAddress(),
 		Learner: true,
+		Zone:    member.GetZone(),
 	}
 }
 
@@ -146,6 +183,7 @@
 	return &wire.ControlMember{
 		Id:      member.GetId(),
 		Address: member.GetAddress(),
+		Zone:    member.GetZone(),
 	}
 }
 
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -56,6 +56,16 @@
 	Committed []*wire.JournalEntry
 }
 
+// IsDurable reports whether something must be synced before the rest is done.
+func (a *Actions) IsDurable() bool {
+	return a.Hard != nil || a.Snapshot != nil || a.TruncateFrom > 0 || len(a.Entries) > 0
+}
+
+// IsEmpty reports whether there is nothing to do.
+func (a *Actions) IsEmpty() bool {
+	return !a.IsDurable() && len(a.Messages) == 0 && len(a.Committed) == 0
+}
+
 // NotLeaderError is the refusal of a proposal by an instance that does not lead.
 type NotLeaderError struct {
 	Leader string
@@ -93,6 +103,9 @@
 
 // Machine is one control instance's part in the agreement.
 type Machine struct {
+	// OpenMembership lets instances join that no operator has added, and takes the vote of a silent one in the same availability zone away in exchange.
+	OpenMembership bool
+
 	timing Timing
 	random *rand.Rand
 
@@ -370,6 +383,15 @@
 // LogSize returns how many entries are held behind the snapshot.
 func (m *Machine) LogSize() int { return len(m.log.entries) }
 
+// LogBytes returns the size of what the entries behind the snapshot carry.
+func (m *Machine) LogBytes() int {
+	size := 0
+	for _, entry := range m.log.entries {
+		size += len(entry.GetPayload())
+	}
+	return size
+}
+
 // InContact reports whether this instance leads with its lease, or has heard its leader within the election timeout.
 func (m *Machine) InContact(now time.Time) bool {
 	if m.role == Leader {
--- a/internal/transport/controller/addresses.go
+++ b/internal/transport/controller/addresses.go
@@ -53,3 +53,17 @@
 	}
 	return a.listed[id]
 }
+
+// all returns every address that is known.
+func (a *addresses) all() []string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var list []string
+	for _, member := range a.known {
+		list = append(list, member.GetAddress())
+	}
+	for _, address := range a.listed {
+		list = append(list, address)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/transport/controller/followers.go
@@ -0,0 +1,58 @@
+package controller
+
+import (
+	"sync"
+	"time"
+)
+
+// followerLife is how long an entry instance counts as a follower after its last call, in which time it calls several times.
+const followerLife = 5 * time.Second
+
+// followers is what held calls wait for, and who makes them.
+type followers struct {
+	mutex   sync.Mutex
+	version uint64
+	index   uint64
+	changed chan struct{}
+	seen    map[string]time.Time
+}
+
+func newFollowers() *followers {
+	return &followers{
+		changed: make(chan struct{}),
+		seen:    map[string]time.Time{},
+	}
+}
+
+// publish wakes the held calls where the state has moved.
+func (f *followers) publish(version, index uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if version == f.version && index == f.index {
+		return
+	}
+	f.version = version
+	f.index = index
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// wait returns what is closed at the next change.
+func (f *followers) wait() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.changed
+}
+
+// note counts an entry instance as a follower, and returns how many there are.
+func (f *followers) note(now time.Time, instance string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.seen[instance] = now
+	for name, at := range f.seen {
+		if now.Sub(at) > followerLife {
+			delete(f.seen, name)
+		}
+	}
+	return len(f.seen)
+}
--- a/internal/transport/controller/joiner.go
+++ b/internal/transport/controller/joiner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +15,8 @@
 const (
 	joinPeriod  = 200 * time.Millisecond
 	joinTimeout = 500 * time.Millisecond
+	// askAgainAfter is how long a member goes without a leader before it asks whether it still is one: longer than an election.
+	askAgainAfter = 3 * time.Second
 )
 
 // joiner asks the control instances of the settings to be joined, until this one has a vote.
@@ -20,21 +24,43 @@
 	controller *Controller
 	reason     string
 	done       chan struct{}
+
+	mutex sync.Mutex
+	// seeds are where the settings say that control instances are.
+	seeds []string
 }
 
 func newJoiner(c *Controller) *joiner {
 	return &joiner{
 		controller: c,
 		done:       make(chan struct{}),
+		seeds:      c.settings.Others(),
 	}
 }
 
+func (j *joiner) reseed(seeds []string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.seeds = seeds
+}
+
 func (j *joiner) run() {
 	defer close(j.done)
 	ticker := time.NewTicker(joinPeriod)
 	defer ticker.Stop()
-	for !j.joined() {
-		j.askAll()
+	alone := time.Now()
+	for {
+		joined, contact := j.standing()
+		if contact {
+			alone = time.Now()
+		}
+		if joined && j.controller.settings.Formation == nil {
+			return
+		}
+		// A member that another has replaced while it was cut off hears of that from nobody, so it asks again.
+		if !joined || time.Since(alone) > askAgainAfter {
+			j.askAll()
+		}
 		select {
 		case <-ticker.C:
 		case <-j.controller.done:
@@ -43,29 +69,45 @@
 	}
 }
 
-func (j *joiner) joined() bool {
-	joined := false
-	_ = j.controller.ask(context.Background(), func(time.Time) {
-		joined = j.controller.machine.Joined()
+// standing reports whether this instance has a vote by its own journal, and whether it is in contact with a leader.
+func (j *joiner) standing() (bool, bool) {
+	var joined, contact bool
+	_ = j.controller.ask(context.Background(), func(now time.Time) {
+		own := j.controller.machine.Members().Find(j.controller.id)
+		// A founder's zone is known to itself alone until it has joined once.
+		joined = j.controller.machine.Joined() && (j.controller.settings.Formation == nil || own.GetZone() == j.controller.settings.Zone)
+		contact = j.controller.machine.InContact(now)
 	})
-	return joined
+	return joined, contact
 }
 
 func (j *joiner) askAll() {
 	settings := j.controller.settings
 	member := &wire.ControlMember{
-		Id: j.controller.id,
+		Id:      j.controller.id,
+		Address: settings.Advertised(),
+		Zone:    settings.Zone,
 	}
-	for _, other := range settings.Members {
-		if other.ID == settings.Instance {
-			member.Address = other.Address
+	for _, address := range j.others() {
+		if j.ask(address, member) {
+			return
 		}
 	}
-	for _, other := range settings.Members {
-		if other.ID != settings.Instance && j.ask(other.Address, member) {
-			return
+}
+
+// others returns where control instances may be: those of the settings, and those that the journal or another instance has named.
+func (j *joiner) others() []string {
+	own := j.controller.settings.Advertised()
+	j.mutex.Lock()
+	seeds := slices.Clone(j.seeds)
+	j.mutex.Unlock()
+	var list []string
+	for _, address := range append(seeds, j.controller.addresses.all()...) {
+		if address != own && !slices.Contains(list, address) {
+			list = append(list, address)
 		}
 	}
+	return list
 }
 
 // ask asks one instance, and reports whether it leads and has taken the request.
--- /dev/null
+++ b/internal/transport/forwarder/directory.go
@@ -0,0 +1,289 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/listener"
+	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
+)
+
+const (
+	// followHold is how long control holds a call while nothing changes.
+	followHold = time.Second
+	// followLimit ends a call that is not answered, as on a connection that has gone silent.
+	followLimit = followHold + 500*time.Millisecond
+	// followAgain is the pause after a call that failed.
+	followAgain = 200 * time.Millisecond
+	// documentLimit bounds the fetch of a configuration.
+	documentLimit = 1500 * time.Millisecond
+	// unconfirmedAfter is how long a new instance waits for a control instance in contact with a quorum before it takes the word of one that is cut off.
+	unconfirmedAfter = 1500 * time.Millisecond
+)
+
+// directory follows the control instances: one loop each, of which the first with news is heard.
+type directory struct {
+	forwarder *Forwarder
+	started   time.Time
+	followers atomic.Int64
+
+	mutex    sync.Mutex
+	known    bool
+	index    uint64
+	version  uint64
+	records  map[string]*wire.Replica
+	control  map[string]*follower
+	stopping bool
+}
+
+// follower follows one control instance.
+type follower struct {
+	directory *directory
+	address   string
+	client    wireconnect.FleetServiceClient
+	reached   bool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+func newDirectory(f *Forwarder) *directory {
+	d := &directory{
+		forwarder: f,
+		started:   time.Now(),
+		records:   map[string]*wire.Replica{},
+		control:   map[string]*follower{},
+	}
+	d.followers.Store(assumedSharers)
+	return d
+}
+
+func (d *directory) start() {
+	settings := d.forwarder.current()
+	d.follow(checker.SameHosts(settings.ControlSeeds, settings.ControlPeers))
+}
+
+func (d *directory) isKnown() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.known
+}
+
+// follow begins to follow the control instances that are not followed yet.
+func (d *directory) follow(addresses []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, address := range addresses {
+		if d.control[address] != nil || d.stopping {
+			continue
+		}
+		fo := &follower{
+			directory: d,
+			address:   address,
+			client:    wireconnect.NewFleetServiceClient(listener.NewClient(), "http://"+address),
+			done:      make(chan struct{}),
+		}
+		fo.ctx, fo.cancel = context.WithCancel(context.Background())
+		d.control[address] = fo
+		go fo.run()
+	}
+}
+
+func (d *directory) close() {
+	d.mutex.Lock()
+	d.stopping = true
+	all := make([]*follower, 0, len(d.control))
+	for _, fo := range d.control {
+		all = append(all, fo)
+	}
+	d.mutex.Unlock()
+	for _, fo := range all {
+		fo.cancel()
+		<-fo.done
+	}
+}
+
+func (fo *follower) run() {
+	defer close(fo.done)
+	for fo.ctx.Err() == nil {
+		err := fo.round()
+		fo.note(err)
+		if err == nil {
+			continue
+		}
+		select {
+		case <-fo.ctx.Done():
+		case <-time.After(followAgain):
+		}
+	}
+}
+
+// note writes a line when the control instance is lost or reached again.
+func (fo *follower) note(err error) {
+	log := fo.directory.forwarder.log
+	switch {
+	case err == nil && !fo.reached:
+		fo.reached = true
+		log.Info("control instance reached", "control", fo.address)
+	case err != nil && fo.reached && fo.ctx.Err() == nil:
+		fo.reached = false
+		log.Info("control instance lost", "control", fo.address, "cause", err.Error())
+	}
+}
+
+func (fo *follower) round() error {
+	d := fo.directory
+	ctx, cancel := context.WithTimeout(fo.ctx, followLimit)
+	defer cancel()
+	response, err := fo.client.Follow(ctx, connect.NewRequest(d.asked()))
+	if err != nil {
+		return err
+	}
+	return fo.take(response.Msg)
+}
+
+func (d *directory) asked() *wire.FollowRequest {
+	settings := d.forwarder.current()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return &wire.FollowRequest{
+		Instance: settings.Instance,
+		Zone:     settings.Zone,
+		Since:    d.index,
+		Version:  d.version,
+		HoldMs:   uint32(followHold.Milliseconds()),
+		Heard:    d.known,
+	}
+}
+
+// take puts in force what is newer; while nothing is known, only from a control instance that may be believed.
+func (fo *follower) take(response *wire.FollowResponse) error {
+	d := fo.directory
+	if !d.isKnown() && !response.GetConfirmed() && time.Since(d.started) < unconfirmedAfter {
+		select {
+		case <-fo.ctx.Done():
+		case <-time.After(followAgain):
+		}
+		return nil
+	}
+	if response.GetVersion() > d.held() {
+		if err := fo.fetch(); err != nil {
+			return err
+		}
+	}
+	d.take(response)
+	return nil
+}
+
+func (d *directory) held() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.version
+}
+
+// fetch puts the control instance's configuration in force, unless a newer one came in between.
+func (fo *follower) fetch() error {
+	d := fo.directory
+	ctx, cancel := context.WithTimeout(fo.ctx, documentLimit)
+	defer cancel()
+	response, err := fo.client.Document(ctx, connect.NewRequest(&wire.DocumentRequest{}))
+	if err != nil {
+		return err
+	}
+	publication := response.Msg.GetPublication()
+	book, err := d.forwarder.protocol.Decode(publication.GetDocument())
+	if err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if publication.GetVersion() <= d.version {
+		return nil
+	}
+	before := d.version
+	d.version = publication.GetVersion()
+	d.forwarder.book.Store(book)
+	d.forwarder.log.Info("configuration in force", "version", d.version, "before", before, "routes", len(book.Routes), "from", fo.address)
+	return nil
+}
+
+func (d *directory) take(response *wire.FollowResponse) {
+	var members []string
+	for _, member := range response.GetMembers() {
+		members = append(members, member.GetAddress())
+	}
+	d.follow(members)
+	if count := response.GetFollowers(); count > 0 {
+		d.followers.Store(int64(count))
+		d.forwarder.share(int(count))
+	}
+	d.takeReplicas(response)
+}
+
+func (d *directory) takeReplicas(response *wire.FollowResponse) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if response.GetIndex() <= d.index && d.known {
+		return
+	}
+	if response.GetWhole() {
+		d.dropMissing(response.GetReplicas())
+	}
+	for _, record := range response.GetReplicas() {
+		if known := d.records[record.GetId()]; known == nil || known.GetIndex() < record.GetIndex() {
+			d.put(record)
+		}
+	}
+	d.index = response.GetIndex()
+	d.known = d.known || response.GetWhole()
+}
+
+// dropMissing drops replicas that a whole table of a later place in the journal does not hold.
+func (d *directory) dropMissing(whole []*wire.Replica) {
+	for id := range d.records {
+		if !slices.ContainsFunc(whole, func(r *wire.Replica) bool { return r.GetId() == id }) {
+			delete(d.records, id)
+			d.forwarder.removeReplica(id)
+		}
+	}
+}
+
+func (d *directory) put(record *wire.Replica) {
+	d.records[record.GetId()] = record
+	d.forwarder.log.V(1).Info("replica", "replica", record.GetId(), "service", record.GetService(), "state", record.GetState().String(), "index", record.GetIndex())
+	switch record.GetState() {
+	case wire.ReplicaState_REPLICA_STATE_READY, wire.ReplicaState_REPLICA_STATE_LOST:
+		d.forwarder.putReplica(balancer.Replica{
+			ID:      record.GetId(),
+			Service: record.GetService(),
+			Address: record.GetAddress(),
+			Zone:    record.GetZone(),
+			Slots:   int(record.GetSlots()),
+			Lost:    record.GetState() == wire.ReplicaState_REPLICA_STATE_LOST,
+		})
+	default:
+		d.forwarder.removeReplica(record.GetId())
+	}
+}
+
+func (f *Forwarder) putReplica(replica balancer.Replica) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.balancer.Put(replica)
+}
+
+// removeReplica takes a replica out of use; attempts in flight end as they will.
+func (f *Forwarder) removeReplica(id string) {
+	f.mutex.Lock()
+	f.balancer.Remove(id)
+	f.mutex.Unlock()
+	f.exchanger.Forget(id)
+}
--- /dev/null
+++ b/internal/transport/forwarder/forwarder.go
@@ -0,0 +1,195 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
+	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
+)
+
+// Protocol is what a platform speaks with callers and replicas.
+type Protocol struct {
+	// Decode turns a publication's document into routes.
+	Decode func(document []byte) (*matcher.Book, error)
+	Codec  exchanger.Codec
+	// Callers serves callers, and Readiness the balancer before this instance.
+	Callers   func(*Forwarder) http.Handler
+	Readiness func(*Forwarder) http.Handler
+}
+
+// Forwarder is one running entry instance.
+type Forwarder struct {
+	settings  *checker.Forwarder
+	log       logr.Logger
+	protocol  Protocol
+	exchanger *exchanger.Exchanger
+	book      atomic.Pointer[matcher.Book]
+	stopping  atomic.Bool
+
+	// mutex guards what decisions are made by.
+	mutex    sync.Mutex
+	balancer *balancer.Balancer
+	windows  map[string]*limiter.Window
+	policies *scatterer.Policies
+	sharers  int
+
+	directory *directory
+	callers   *callerServer
+	readiness *listener.Server
+	metrics   *listener.Server
+	meter     *meter
+	stop      chan struct{}
+	done      chan struct{}
+}
+
+// New starts the instance; it is ready once it has heard of routes and replicas.
+func New(settings *checker.Forwarder, log logr.Logger, protocol Protocol) (*Forwarder, error) {
+	f := &Forwarder{
+		settings: settings,
+		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
+		protocol: protocol,
+		balancer: balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		windows:  map[string]*limiter.Window{},
+		sharers:  assumedSharers,
+		meter:    newMeter(),
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	f.policies = &scatterer.Policies{
+		Balancer:  f.balancer,
+		Window:    f.window,
+		Allowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
+	}
+	f.exchanger = exchanger.New(protocol.Codec, f.connectionShare, f.meter.connectionOpened)
+	f.directory = newDirectory(f)
+	if err := f.listen(); err != nil {
+		return nil, err
+	}
+	f.directory.start()
+	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
+	return f, nil
+}
+
+func (f *Forwarder) listen() error {
+	var err error
+	if f.callers, err = newCallerServer(f.settings.ListenCallers, f.protocol.Callers(f)); err != nil {
+		return err
+	}
+	if f.readiness, err = listener.New(f.settings.ListenReadiness, f.protocol.Readiness(f)); err != nil {
+		return err
+	}
+	f.metrics, err = listener.New(f.settings.ListenMetrics, f.meter.handler)
+	return err
+}
+
+// IsReady reports whether callers may be sent here.
+func (f *Forwarder) IsReady() bool {
+	return !f.stopping.Load() && f.book.Load() != nil && f.directory.isKnown()
+}
+
+// IsStopping reports whether the instance is about to end, so that callers are to use other connections.
+func (f *Forwarder) IsStopping() bool { return f.stopping.Load() }
+
+// Book returns the routing configuration in force here, or nil.
+func (f *Forwarder) Book() *matcher.Book { return f.book.Load() }
+
+// Reload puts changed settings in force; addresses stay as they were at the start.
+func (f *Forwarder) Reload(settings *checker.Forwarder) {
+	f.mutex.Lock()
+	f.settings = settings
+	f.policies.Allowance = time.Duration(settings.CallerAllowanceMs) * time.Millisecond
+	f.rate()
+	f.mutex.Unlock()
+	f.directory.follow(checker.SameHosts(settings.ControlSeeds, settings.ControlPeers))
+}
+
+// current returns the settings in force.
+func (f *Forwarder) current() *checker.Forwarder {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.settings
+}
+
+// Shutdown turns new callers away, answers every request in flight and ends.
+func (f *Forwarder) Shutdown(ctx context.Context) {
+	f.log.Info("stopping")
+	f.stopping.Store(true)
+	f.callers.shutdown(ctx, time.Duration(f.current().DrainMs)*time.Millisecond)
+	close(f.stop)
+	f.directory.close()
+	f.readiness.Close()
+	f.metrics.Close()
+	f.meter.reporter.Close()
+	f.log.Info("stopped")
+}
+
+const (
+	// assumedSharers is how many entry instances are assumed to share limits while control has not told.
+	assumedSharers = 12
+	// connectionsKept of a replica's limit are used, so that instances which count each other late do not pass it together.
+	connectionsKept = 0.85
+	// burstKept of the burst of repeats is used, for the same reason.
+	burstKept = 0.85
+	// defaultConnections stands for the limit of a service that the configuration in force does not name.
+	defaultConnections = 8
+)
+
+// connectionShare returns how many connections this instance may have to each replica of the service.
+func (f *Forwarder) connectionShare(service string) int {
+	limit := defaultConnections
+	if book := f.book.Load(); book != nil {
+		if known := book.FindService(service); known != nil && known.Connections > 0 {
+			limit = known.Connections
+		}
+	}
+	return max(1, int(connectionsKept*float64(limit))/int(f.directory.followers.Load()))
+}
+
+// window returns the budget of repeats of the service; the mutex is held.
+func (f *Forwarder) window(service string) *limiter.Window {
+	known, ok := f.windows[service]
+	if !ok {
+		known = limiter.NewWindow(f.windowRate())
+		f.windows[service] = known
+	}
+	return known
+}
+
+// windowRate is this instance's part of what all together may repeat.
+func (f *Forwarder) windowRate() limiter.WindowRate {
+	return limiter.WindowRate{
+		Ratio: f.settings.RepeatRatio,
+		Burst: burstKept * f.settings.RepeatBurst / float64(f.sharers),
+		Span:  time.Duration(f.settings.RepeatWindowMs) * time.Millisecond,
+	}
+}
+
+// share takes how many entry instances share the limits.
+func (f *Forwarder) share(count int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if count == f.sharers || count == 0 {
+		return
+	}
+	f.sharers = count
+	f.rate()
+}
+
+// rate divides the budgets of repeats anew; the mutex is held.
+func (f *Forwarder) rate() {
+	for _, window := range f.windows {
+		window.SetRate(f.windowRate())
+	}
+}
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -21,7 +21,7 @@
 const shutdownLimit = 2 * time.Minute
 
 func (o *Operator) form(flags *flag.FlagSet, arguments []string) error {
-	settings, err := readSettings(flags, arguments, "control", checker.ReadControl)
+	settings, _, err := readSettings(flags, arguments, "control", checker.ReadControl)
 	if err != nil {
 		return err
 	}
@@ -29,20 +29,32 @@
 }
 
 func (o *Operator) control(flags *flag.FlagSet, arguments []string) error {
-	settings, err := readSettings(flags, arguments, "control", checker.ReadControl)
+	settings, path, err := readSettings(flags, arguments, "control", checker.ReadControl)
 	if err != nil {
 		return err
 	}
-	c, err := controller.New(settings, logger.New(o.errOut, settings.LogLevel))
+	out := o.errOut
+	if settings.Platform != nil {
+		out = o.out
+	}
+	log := logger.New(out, settings.LogLevel)
+	c, err := controller.New(settings, log)
 	if err != nil {
 		return err
 	}
+	served, err := o.servePlatform(settings, c, log)
+	if err != nil {
+		return errors.Join(err, c.Close())
+	}
+	w := newWatcher(path, checker.ReadControl, c.Reload, log)
 	waitForSignal(c.Done())
+	w.close()
+	served.close()
 	return c.Close()
 }
 
 func (o *Operator) entry(flags *flag.FlagSet, arguments []string) error {
-	settings, err := readSettings(flags, arguments, "entry", checker.ReadEntry)
+	settings, _, err := readSettings(flags, arguments, "entry", checker.ReadEntry)
 	if err != nil {
 		return err
 	}
@@ -57,7 +69,7 @@
 }
 
 func (o *Operator) check(flags *flag.FlagSet, arguments []string) error {
-	kind := flags.String("kind", "entry", "what the file is for: entry, control or standin")
+	kind := flags.String("kind", "entry", "what the file is for: entry, forward, control or standin")
 	if err := parse(flags, arguments, 1); err != nil {
 		return err
 	}
@@ -66,13 +78,15 @@
 	switch *kind {
 	case "entry":
 		_, err = checker.ReadEntry(path)
+	case "forward":
+		_, err = checker.ReadForwarder(path)
 	case "control":
 		_, err = checker.ReadControl(path)
 	case "standin":
 		_, err = checker.ReadStandin(path)
 	default:
 		err = &UsageError{
-			Reason: fmt.Sprintf("-kind %q: must be entry, control or standin", *kind),
+			Reason: fmt.Sprintf("-kind %q: must be entry, forward, control or standin", *kind),
 		}
 	}
 	if err != nil {
@@ -82,17 +96,17 @@
 	return nil
 }
 
-// readSettings parses a command line that takes just the settings file of an instance, and reads the file.
-func readSettings[T any](flags *flag.FlagSet, arguments []string, kind string, read func(path string) (*T, error)) (*T, error) {
+// readSettings parses a command line that takes just the settings file of an instance, reads the file and returns its path too.
+func readSettings[T any](flags *flag.FlagSet, arguments []string, kind string, read func(path string) (*T, error)) (*T, string, error) {
 	path := flags.String("settings", "", "settings file of the "+kind+" instance")
 	if err := parse(flags, arguments, 0); err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	settings, err := read(*path)
 	if err != nil {
-		return nil, settingsError(*path, err)
+		return nil, "", settingsError(*path, err)
 	}
-	return settings, nil
+	return settings, *path, nil
 }
 
 func settingsError(path string, err error) error {
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -35,14 +35,17 @@
 	out    io.Writer
 	errOut io.Writer
 	verbs  []verb
+	// platform is the adapter for instances that a platform runs.
+	platform Platform
 }
 
 // New returns a command line that prints results on out, and logs and errors on errOut.
-func New(out, errOut io.Writer) *Operator {
+func New(out, errOut io.Writer, platform Platform) *Operator {
 	return &Operator{
-		out:    out,
-		errOut: errOut,
-		verbs:  allVerbs(),
+		out:      out,
+		errOut:   errOut,
+		verbs:    allVerbs(),
+		platform: platform,
 	}
 }
 
@@ -72,6 +75,12 @@
 			example: "pimentogate entry -settings entry-1.json",
 			run:     (*Operator).entry,
 		},
+		{
+			name:    "forward",
+			summary: "run an entry instance that forwards to the replicas enrolled at control",
+			example: "pimentogate forward -settings forward-1.json",
+			run:     (*Operator).forward,
+		},
 		{
 			name:    "check",
 			summary: "read a settings file and name every mistake in it",
