Leave congested shards out of queries

Change: a level for each service and class of requests, lowered by answers in the second half of their time, leaves the shard out of a share of the queries, and refuses at once those that it would leave too few shards; replicas are told to stop when a part can't be used any more.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -7,6 +7,7 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
 const (
@@ -20,6 +21,10 @@
 	tryAgain = 10 * time.Millisecond
 	// earliestHedge is the least time before an attempt is repeated.
 	earliestHedge = 3 * time.Millisecond
+	// hedgeAbove is the share of a service's load below which stragglers are not hedged; a pause of one replica alone stays above.
+	hedgeAbove = 0.97
+	// lateShare of the target latency is what a part may come late by, for answers that still lack some.
+	lateShare = 0.2
 	// unknownHedge of the target latency is waited while no latency was observed.
 	unknownHedge = 0.35
 	// retryAfterFault is when a caller may come back whose request found no sound replica: a short rest of a replica.
@@ -44,6 +49,8 @@
 	// rejected and broken say how attempts have ended.
 	rejected bool
 	broken   bool
+	// skipped says that the service is too congested to be asked in time.
+	skipped bool
 	// retryAt is when a retry that the budget forbade is looked at again; zero while none is wanted.
 	retryAt time.Time
 }
@@ -115,8 +122,19 @@
 		})
 		return nil
 	}
+	if !j.shed(now) {
+		j.decide(Decision{
+			Kind:       Refused,
+			Reason:     ReasonCongested,
+			RetryAfter: retryAfterBusy,
+		})
+		return nil
+	}
 	var sends []*Attempt
 	for i, s := range j.shards {
+		if s.skipped {
+			continue
+		}
 		if a := j.place(now, i, s, AttemptFirst); a != nil {
 			sends = append(sends, a)
 		}
@@ -125,6 +143,29 @@
 	return j.keep(sends)
 }
 
+// shed leaves congested shards out, and reports false where that leaves too few for an answer.
+func (j *Job) shed(now time.Time) bool {
+	if !j.request.Route.IsGathered() {
+		return true
+	}
+	kept := 0
+	for _, s := range j.shards {
+		s.skipped = !j.policies.Shedder.Admits(now, j.load(s.service))
+		if !s.skipped && j.policies.Balancer.Count(s.service) > 0 {
+			kept++
+		}
+	}
+	return kept >= j.least()
+}
+
+func (j *Job) load(service string) shedder.Load {
+	return shedder.Load{
+		Service:  service,
+		Class:    j.class,
+		Priority: j.request.Route.Priority,
+	}
+}
+
 // Ended takes the end of an attempt.
 func (j *Job) Ended(now time.Time, a *Attempt, outcome Outcome) []*Attempt {
 	s := j.shards[a.Shard]
@@ -197,16 +238,23 @@
 	b := j.policies.Balancer
 	b.Ended(a.Replica, a.Began)
 	took := now.Sub(a.Began)
+	expired := !now.Before(a.Deadline)
 	switch {
 	case outcome.Kind == OutcomeReplied && outcome.Reply.IsSuccess():
 		b.Answered(a.Replica, j.class, took)
-	case outcome.Cause == CauseGivenUp:
-		if outcome.Kind == OutcomeBroken {
+	case outcome.Cause == CauseGivenUp, expired && outcome.Kind != OutcomeBroken:
+		if outcome.Kind != OutcomeUnsent {
 			b.Outrun(a.Replica, took)
 		}
 	default:
 		b.Failed(now, a.Replica)
 	}
+	if !j.request.Route.IsGathered() || a.Kind != AttemptFirst {
+		return
+	}
+	// An answer in the second half of the time that it had says that the next may come too late.
+	useful := a.Began.Add(j.soft.Sub(a.Began) / 2)
+	j.policies.Shedder.Observe(now, j.load(a.Service), outcome.Kind == OutcomeRejected || now.After(useful))
 }
 
 // CauseGivenUp is the cause of an attempt that was broken off here, which says nothing against its replica but that it took long.
@@ -261,7 +309,7 @@
 func (j *Job) hedge(now time.Time, i int, s *shard) []*Attempt {
 	slow := s.pending[0]
 	slow.hedgeAt = now.Add(tryAgain)
-	if !j.mayHedge(s) {
+	if !j.mayHedge(s) || j.isCongested(now, s) {
 		return nil
 	}
 	a := j.place(now, i, s, AttemptHedge)
@@ -273,6 +321,11 @@
 	return []*Attempt{a}
 }
 
+// isCongested reports whether a repeat would take the place of a first attempt.
+func (j *Job) isCongested(now time.Time, s *shard) bool {
+	return j.request.Route.IsGathered() && j.policies.Shedder.Share(now, j.load(s.service)) < hedgeAbove
+}
+
 // place chooses a replica and takes what the attempt costs from the budget; nil where there is no replica, or no budget, which sets retryAt.
 func (j *Job) place(now time.Time, i int, s *shard, kind AttemptKind) *Attempt {
 	replica := j.policies.Balancer.Pick(now, s.service, func(r *balancer.State) bool {
@@ -299,7 +352,7 @@
 		Replica:  replica,
 		Kind:     kind,
 		Began:    now,
-		Deadline: j.hard,
+		Deadline: j.stopWork(now),
 		hedgeAt:  now.Add(j.hedgeDelay()),
 	}
 	j.policies.Balancer.Sent(now, replica)
@@ -309,6 +362,14 @@
 	return a
 }
 
+// stopWork is when a replica is to give an attempt up: work on a part that can't be used any more would only delay other parts.
+func (j *Job) stopWork(now time.Time) time.Time {
+	if !j.request.Route.IsGathered() || !now.Before(j.soft) {
+		return j.hard
+	}
+	return earlier(j.hard, j.soft.Add(time.Duration(lateShare*float64(j.request.Route.Target))))
+}
+
 func (j *Job) hedgeDelay() time.Duration {
 	delay := j.policies.Balancer.HedgeDelay(j.class)
 	if delay == 0 {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -6,6 +6,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
 // Request is a caller's request as far as decisions go.
@@ -106,6 +107,7 @@
 const (
 	ReasonNone       Reason = ""
 	ReasonNoReplica  Reason = "no-replica"
+	ReasonCongested  Reason = "shards-congested"
 	ReasonRejected   Reason = "rejected-by-replicas"
 	ReasonBroken     Reason = "replica-broke-off"
 	ReasonDeadline   Reason = "deadline"
@@ -145,6 +147,7 @@
 // Policies are what all requests of an instance share.
 type Policies struct {
 	Balancer *balancer.Balancer
+	Shedder  *shedder.Shedder
 	// Window returns the budget of repeats of a service.
 	Window func(service string) *limiter.Window
 	// Allowance is the time that an answer needs to its caller, and the request before it.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/coordination/shedder"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/internal/transport/listener"
@@ -69,6 +70,7 @@
 	}
 	f.policies = &scatterer.Policies{
 		Balancer:  f.balancer,
+		Shedder:   shedder.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Window:    f.window,
 		Allowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
 	}
