--- a/internal/coordination/limiter/window.go
+++ b/internal/coordination/limiter/window.go
@@ -57,9 +57,14 @@
 }
 
 func (w *Window) allowed() float64 {
-	return w.rate.Ratio*float64(sum(w.requests)) + w.rate.Burst
+	// The oldest step lies before the span in part, so its requests allow nothing any more, while its repeats still count.
+	requests := sum(w.requests) - w.requests[(w.step+1)%windowSteps]
+	return ratioKept*w.rate.Ratio*float64(requests) + w.rate.Burst
 }
 
+// ratioKept is the part of the ratio that is used: a span that lies across a lull may hold repeats that were allowed by requests before it.
+const ratioKept = 0.9
+
 // advance empties the steps that have gone by; one step more than the span is kept, so that a count never leaves early.
 func (w *Window) advance(now time.Time) {
 	length := int64(w.rate.Span) / (windowSteps - 1)
