Follow the named leader when joining

Ruled out: votes (a leader stood), the outbox (the leader had never heard it). Change: the joiner asks the leader that a refusal names. Before: TestJoinsBesideLeaderThatIsNoSeed fails.

--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -7,11 +7,12 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -66,7 +67,7 @@
 
 func (f *fleet) start(i int) {
 	f.t.Helper()
-	c, err := New(f.settings[i], logr.Discard())
+	c, err := New(f.settings[i], testr.New(f.t))
 	check(f.t, err)
 	f.controls[i] = c
 	f.settings[i] = restarted(f.settings[i])
@@ -109,12 +110,28 @@
 			return
 		}
 		if time.Now().After(limit) {
-			f.t.Fatalf("instance %d sees %d votes, want %d", i, got, len(f.controls))
+			f.t.Fatalf("instance %d sees %d votes, want %d\n%s", i, got, len(f.controls), f.describe())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// describe says where each instance stands, for a test that fails.
+func (f *fleet) describe() string {
+	var b strings.Builder
+	for i, c := range f.controls {
+		if c == nil {
+			continue
+		}
+		_ = c.ask(context.Background(), func(time.Time) {
+			m := c.machine
+			fmt.Fprintf(&b, "%d: %s, role %d, term %d, leader %q, last %d, commit %d, saving %v, members %v\n",
+				i, c.id, m.Role(), m.Term(), m.Leader(), m.LastIndex(), m.Commit(), c.saving, m.Members())
+		})
+	}
+	return b.String()
+}
+
 func (f *fleet) leader() int {
 	f.t.Helper()
 	limit := time.Now().Add(testLimit)
@@ -184,6 +201,23 @@
 	}
 }
 
+// TestJoinsBesideLeaderThatIsNoSeed holds that an instance without a journal finds a leader that no seed names, by what the seeds answer.
+func TestJoinsBesideLeaderThatIsNoSeed(t *testing.T) {
+	const noSeed = 3
+	f := newFleet(t, 4)
+	for i := range f.controls {
+		f.await(i)
+	}
+	for leads := f.leader(); leads != noSeed; leads = f.leader() {
+		f.stop(leads)
+		f.leader()
+		f.start(leads)
+	}
+	f.wipe(0)
+	f.start(0)
+	f.await(0)
+}
+
 // TestBlankNeverForms holds that an instance whose disk was lost forms nothing by itself, though it is a seed.
 func TestBlankNeverForms(t *testing.T) {
 	f := newFleet(t, 3)
--- a/internal/transport/controller/joiner.go
+++ b/internal/transport/controller/joiner.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -88,10 +89,20 @@
 		Address: settings.Advertised(),
 		Zone:    settings.Zone,
 	}
-	for _, address := range j.others() {
-		if j.ask(address, member) {
+	asked := map[string]bool{}
+	// The list grows while it is gone through: the leader need not be among those known at first.
+	for list := j.others(); len(list) > 0; list = list[1:] {
+		if asked[list[0]] {
+			continue
+		}
+		asked[list[0]] = true
+		joining, leader := j.ask(list[0], member)
+		if joining {
 			return
 		}
+		if leader != "" {
+			list = append(list, leader)
+		}
 	}
 }
 
@@ -110,8 +121,8 @@
 	return list
 }
 
-// ask asks one instance, and reports whether it leads and has taken the request.
-func (j *joiner) ask(address string, member *wire.ControlMember) bool {
+// ask asks one instance, and reports whether it leads and has taken the request, and else the leader that it names.
+func (j *joiner) ask(address string, member *wire.ControlMember) (bool, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
 	client := wireconnect.NewJournalServiceClient(j.controller.client, "http://"+address)
@@ -120,10 +131,10 @@
 	}))
 	if err != nil {
 		j.explain(address, err)
-		return false
+		return false, listener.DetailOf[*wire.NotLeader](err).GetLeaderAddress()
 	}
 	j.controller.addresses.learn(response.Msg.GetMembers())
-	return true
+	return true, ""
 }
 
 // explain logs why this instance is not joined, once a reason.
