Write bounded logs and metrics, and give new replicas time to be heard of

Change: notable and sampled lines with a bound each, written beside the decisions, dropped lines counted; one line a request without a whole answer with what decided it, its failed attempts, leaders, replicas and settings; counters, gauges and histograms on the metrics address of both roles. A replica counts as silent only from when the leader first asked about it: TestNewReplicaIsNotSilent failed before. Conclusion: processor time of the logs is still to be measured apart.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -44,6 +44,9 @@
 	restEnds time.Time
 }
 
+// Latency returns the moving average of the replica's answers, 0 before the first.
+func (s *State) Latency() time.Duration { return s.latency }
+
 // InFlight returns how many attempts have no answer yet.
 func (s *State) InFlight() int { return len(s.starts) }
 
--- a/internal/coordination/expirer/expirer.go
+++ b/internal/coordination/expirer/expirer.go
@@ -7,6 +7,8 @@
 	DefaultSilence = 9 * time.Second
 	// reportLife is how old the word of another control instance may be, twice the period of its reports.
 	reportLife = 5 * time.Second
+	// forgetAfter silences is when nobody asks about a replica any more, so that it is forgotten.
+	forgetAfter = 20
 	// mostPause is the longest time between two rounds of a leader that ran throughout.
 	mostPause = 4 * time.Second
 )
@@ -57,15 +59,18 @@
 	return true
 }
 
-// IsSilent reports whether the replica would have been heard if it were alive.
+// IsSilent reports whether the replica would have been heard if it were alive; one that was never asked about counts from now on, since its first heartbeat may still be on its way from another control instance.
 func (e *Expirer) IsSilent(now time.Time, replica uint64) bool {
+	if _, known := e.heard[replica]; !known {
+		e.heard[replica] = now
+	}
 	return now.Sub(e.since) >= e.silence && now.Sub(e.heard[replica]) >= e.silence
 }
 
 // forget drops those whose last word says no more than none at all.
 func (e *Expirer) forget(now time.Time) {
 	for replica, at := range e.heard {
-		if now.Sub(at) > 2*e.silence {
+		if now.Sub(at) > forgetAfter*e.silence {
 			delete(e.heard, replica)
 		}
 	}
--- a/internal/coordination/expirer/expirer_test.go
+++ b/internal/coordination/expirer/expirer_test.go
@@ -13,6 +13,28 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// TestNewReplicaIsNotSilent holds that a replica which has just appeared in the table is given the time to be heard of, however long the leader leads.
+func TestNewReplicaIsNotSilent(t *testing.T) {
+	e := New(silence)
+	now := start
+	for range 30 {
+		now = now.Add(round)
+		e.Report(now, "other")
+		e.Lead(now, 1, []string{"other"})
+	}
+	if e.IsSilent(now, replica) {
+		t.Fatal("given up before it could be heard of")
+	}
+	for range 5 {
+		now = now.Add(round)
+		e.Report(now, "other")
+		e.Lead(now, 1, []string{"other"})
+	}
+	if !e.IsSilent(now, replica) {
+		t.Error("never given up")
+	}
+}
+
 // play leads for the given number of rounds; hears, reports and pauses say what happens before each.
 func play(rounds int, hears, reports func(i int) bool, pause func(i int) time.Duration, term func(i int) uint64) bool {
 	e := New(silence)
@@ -26,6 +48,7 @@
 			e.Hear(now, replica)
 		}
 		e.Lead(now, term(i), []string{"other"})
+		e.IsSilent(now, replica)
 	}
 	return e.IsSilent(now, replica)
 }
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -493,6 +493,24 @@
 	return b
 }
 
+// LeastShare returns the least share of sub-requests that is sent of any of the request's services.
+func (j *Job) LeastShare(now time.Time) float64 {
+	least := 1.0
+	for _, s := range j.shards {
+		least = min(least, j.policies.Shedder.Share(now, j.load(s.service)))
+	}
+	return least
+}
+
+// LeastBudget returns the least share of repeats left of any of the request's services.
+func (j *Job) LeastBudget(now time.Time) float64 {
+	least := 1.0
+	for _, s := range j.shards {
+		least = min(least, j.policies.Window(s.service).Left(now))
+	}
+	return least
+}
+
 // Abandon ends a job whose caller has gone.
 func (j *Job) Abandon() {
 	if j.decision == nil {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -133,6 +133,22 @@
 	Expired
 )
 
+// String names the decision in logs and metrics.
+func (k DecisionKind) String() string {
+	switch k {
+	case Relayed:
+		return "relayed"
+	case Gathered:
+		return "gathered"
+	case Refused:
+		return "refused"
+	case Expired:
+		return "expired"
+	default:
+		return "failed"
+	}
+}
+
 // Decision is the one answer to a request.
 type Decision struct {
 	Kind   DecisionKind
--- a/internal/coordination/shedder/shedder.go
+++ b/internal/coordination/shedder/shedder.go
@@ -62,6 +62,17 @@
 	return share
 }
 
+// Least returns the least share of any load.
+func (s *Shedder) Least(now time.Time) float64 {
+	least := 1.0
+	for _, classes := range s.levels {
+		for _, l := range classes {
+			least = min(least, l.at(now))
+		}
+	}
+	return least
+}
+
 // Observe takes how one sub-request went: congested is one that was rejected for load or came too late to be of use.
 func (s *Shedder) Observe(now time.Time, load Load, congested bool) {
 	classes := s.levels[load.Service]
--- a/internal/transport/assembler/assembler.go
+++ b/internal/transport/assembler/assembler.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/state/cataloger"
@@ -165,7 +166,7 @@
 	if err := storer.Form(settings.DataFolder, settings.Instance, settings.WireMembers()); err != nil {
 		return err
 	}
-	c, err := controller.New(settings, a.plan.Log)
+	c, err := controller.New(settings, a.plan.Log, tally.NoopScope)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/state/applier"
@@ -28,6 +29,8 @@
 	beatsPerElection = 5
 	leaseShare       = 0.8
 	snapshotLag      = 5000
+	// measurePeriod is how often what the instance holds is measured.
+	measurePeriod = time.Second
 	// snapshotBytes is the size of the entries in memory from which a snapshot replaces them: a few large publications.
 	snapshotBytes = 2 << 20
 	// suffixSize is the length of what sets a new identity apart from the lost one, in characters.
@@ -60,6 +63,8 @@
 	saver        *saver
 	// saving is set while a batch of actions is being made durable.
 	saving     bool
+	meter      *meter
+	standing   standing
 	failure    error
 	applied    uint64
 	followers  *followers
@@ -93,8 +98,8 @@
 	answer  chan outcome
 }
 
-// New opens the data folder and starts the instance.
-func New(settings *checker.Control, log logr.Logger) (*Controller, error) {
+// New opens the data folder and starts the instance, which counts in the scope.
+func New(settings *checker.Control, log logr.Logger, scope tally.Scope) (*Controller, error) {
 	store, saved, err := openPatiently(settings, log)
 	if err != nil {
 		return nil, fmt.Errorf("control instance %s: %w", settings.Instance, err)
@@ -109,6 +114,7 @@
 		waiting:   map[uint64]waiter{},
 		outboxes:  map[string]*outbox{},
 		watchers:  newWatchers(),
+		meter:     newMeter(scope),
 		followers: newFollowers(),
 		addresses: newAddresses(settings),
 		client:    listener.NewClient(),
@@ -129,7 +135,7 @@
 	c.log.Info("started", "identity", c.id, "address", c.server.Address(), "applied", c.applied, "last-index", c.machine.LastIndex())
 	c.joiner = newJoiner(c)
 	c.snapshotter = newSnapshotter(settings.DataFolder, saved.Snapshot, c.done)
-	c.saver = newSaver(store, c.log, c.done)
+	c.saver = newSaver(store, c.log, c.meter, c.done)
 	c.heartbeats = newHeartbeats(c)
 	go c.snapshotter.run()
 	go c.saver.run()
@@ -239,6 +245,8 @@
 	defer close(c.done)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	measures := time.NewTicker(measurePeriod)
+	defer measures.Stop()
 	for {
 		var err error
 		select {
@@ -250,6 +258,8 @@
 		case actions := <-c.saver.saved:
 			c.saving = false
 			err = c.finish(actions)
+		case now := <-measures.C:
+			c.measure(now)
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
 			c.machine.Follow(time.Now(), c.state.Catalog.Config().GetControls())
@@ -356,6 +366,7 @@
 
 // publish tells those who wait of what has changed.
 func (c *Controller) publish() {
+	c.noteStanding()
 	if c.machine.Role() != journaler.Leader {
 		c.failWaiting(errLeadershipLost)
 	}
@@ -371,6 +382,7 @@
 			return err
 		}
 		c.applied = entry.GetIndex()
+		c.meter.commits.Inc(1)
 		c.answer(entry, result)
 	}
 	return nil
--- a/internal/transport/controller/controller_test.go
+++ b/internal/transport/controller/controller_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
@@ -69,7 +70,7 @@
 			ElectionTimeoutMs: testElection,
 		}
 		check(t, storer.Form(settings.DataFolder, own.ID, members))
-		c, err := New(settings, logr.Discard())
+		c, err := New(settings, logr.Discard(), tally.NoopScope)
 		check(t, err)
 		controls = append(controls, c)
 	}
@@ -180,7 +181,7 @@
 		t.Fatal("not acknowledged after the disk had come back")
 	}
 	check(t, c.Close())
-	again, err := New(c.settings, logr.Discard())
+	again, err := New(c.settings, logr.Discard(), tally.NoopScope)
 	check(t, err)
 	defer again.Close()
 	read, err := again.ReadDocument(t.Context())
@@ -198,7 +199,7 @@
 	check(t, os.RemoveAll(settings.DataFolder))
 	var identities []string
 	for range 2 {
-		c, err := New(settings, logr.Discard())
+		c, err := New(settings, logr.Discard(), tally.NoopScope)
 		check(t, err)
 		identities = append(identities, c.id)
 		if c.machine.Joined() {
@@ -319,7 +320,7 @@
 	check(t, controls[0].Close())
 	before, err := controls[0].state.Snapshot()
 	check(t, err)
-	c, err := New(settings, logr.Discard())
+	c, err := New(settings, logr.Discard(), tally.NoopScope)
 	check(t, err)
 	confirmAny(t, []*Controller{c}, "second", 1)
 	check(t, c.Close())
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -116,6 +116,7 @@
 
 // PublishDocument puts a whole routing configuration in force if its version is the highest, and returns once that is decided for good.
 func (c *Controller) PublishDocument(ctx context.Context, publication *wire.Publication) (uint64, error) {
+	c.meter.publications.Inc(1)
 	result, err := c.execute(ctx, publishCommand(publication), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
 		response, err := client.Publish(ctx, connect.NewRequest(&wire.PublishRequest{
 			Publication: publication,
@@ -155,6 +156,7 @@
 	if err != nil || !news {
 		return err
 	}
+	c.meter.announcements.Inc(1)
 	_, err = c.execute(ctx, enrollCommand(heard), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
 		_, err := client.Enroll(ctx, connect.NewRequest(&wire.EnrollRequest{
 			Replica: heard,
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr/testr"
+	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -67,7 +68,7 @@
 
 func (f *fleet) start(i int) {
 	f.t.Helper()
-	c, err := New(f.settings[i], testr.New(f.t))
+	c, err := New(f.settings[i], testr.New(f.t), tally.NoopScope)
 	check(f.t, err)
 	f.controls[i] = c
 	f.settings[i] = restarted(f.settings[i])
--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -44,6 +44,19 @@
 	return f.changed
 }
 
+// count returns how many entry instances have called lately.
+func (f *followers) count(now time.Time) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, at := range f.seen {
+		if now.Sub(at) <= followerLife {
+			count++
+		}
+	}
+	return count
+}
+
 // note counts an entry instance as a follower, and returns how many there are.
 func (f *followers) note(now time.Time, instance string) int {
 	f.mutex.Lock()
--- a/internal/transport/controller/saver.go
+++ b/internal/transport/controller/saver.go
@@ -16,6 +16,7 @@
 type saver struct {
 	store *storer.Storer
 	log   logr.Logger
+	meter *meter
 	work  chan journaler.Actions
 	// saved gives each batch back once it is durable, in order.
 	saved chan journaler.Actions
@@ -23,10 +24,11 @@
 	done  chan struct{}
 }
 
-func newSaver(store *storer.Storer, log logr.Logger, stop <-chan struct{}) *saver {
+func newSaver(store *storer.Storer, log logr.Logger, meter *meter, stop <-chan struct{}) *saver {
 	return &saver{
 		store: store,
 		log:   log,
+		meter: meter,
 		work:  make(chan journaler.Actions, 1),
 		saved: make(chan journaler.Actions, 1),
 		stop:  stop,
@@ -53,10 +55,13 @@
 func (s *saver) save(actions journaler.Actions) bool {
 	failures := 0
 	for {
+		began := time.Now()
 		err := s.store.Save(actions)
+		s.meter.saves.RecordDuration(time.Since(began))
 		if err == nil {
 			break
 		}
+		s.meter.failedSaves.Inc(1)
 		if failures == 0 {
 			s.log.Error(err, "journal is not durable; this instance neither answers nor leads until it is")
 		}
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -73,6 +73,9 @@
 // Forget closes the connections to a replica that is gone.
 func (e *Exchanger) Forget(replica string) { e.pools.forget(replica) }
 
+// Open returns how many connections are open, in use or idle.
+func (e *Exchanger) Open() int { return e.pools.count() }
+
 // Exchange is one attempt under way, which may be shortened.
 type Exchange struct {
 	mutex    sync.Mutex
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -125,6 +125,16 @@
 	known.wake()
 }
 
+func (p *pools) count() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	count := 0
+	for _, known := range p.byID {
+		count += known.open
+	}
+	return count
+}
+
 func (k *pool) wake() {
 	close(k.freed)
 	k.freed = make(chan struct{})
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -34,14 +34,19 @@
 	forwarder *Forwarder
 	started   time.Time
 	followers atomic.Int64
+	// indexNow is index, for those that don't hold the mutex.
+	indexNow atomic.Uint64
 
-	mutex    sync.Mutex
-	known    bool
-	index    uint64
-	version  uint64
-	records  map[string]*wire.Replica
-	control  map[string]*follower
-	stopping bool
+	mutex   sync.Mutex
+	known   bool
+	index   uint64
+	version uint64
+	// versionAt and heardAt are when the version came and when any control instance was heard last.
+	versionAt time.Time
+	heardAt   time.Time
+	records   map[string]*wire.Replica
+	control   map[string]*follower
+	stopping  bool
 }
 
 // follower follows one control instance.
@@ -49,7 +54,7 @@
 	directory *directory
 	address   string
 	client    wireconnect.FleetServiceClient
-	reached   bool
+	reached   atomic.Bool
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
@@ -77,6 +82,38 @@
 	return d.known
 }
 
+// standing is what is known of control at the moment.
+type standing struct {
+	version    uint64
+	versionAge time.Duration
+	index      uint64
+	heardAge   time.Duration
+	replicas   int
+	reached    int
+}
+
+func (d *directory) standing(now time.Time) standing {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	s := standing{
+		version:  d.version,
+		index:    d.index,
+		replicas: len(d.records),
+	}
+	if d.version > 0 {
+		s.versionAge = now.Sub(d.versionAt)
+	}
+	if d.known {
+		s.heardAge = now.Sub(d.heardAt)
+	}
+	for _, fo := range d.control {
+		if fo.reached.Load() {
+			s.reached++
+		}
+	}
+	return s
+}
+
 // follow begins to follow the control instances that are not followed yet.
 func (d *directory) follow(addresses []string) {
 	d.mutex.Lock()
@@ -130,11 +167,11 @@
 func (fo *follower) note(err error) {
 	log := fo.directory.forwarder.log
 	switch {
-	case err == nil && !fo.reached:
-		fo.reached = true
+	case err == nil && !fo.reached.Load():
+		fo.reached.Store(true)
 		log.Info("control instance reached", "control", fo.address)
-	case err != nil && fo.reached && fo.ctx.Err() == nil:
-		fo.reached = false
+	case err != nil && fo.reached.Load() && fo.ctx.Err() == nil:
+		fo.reached.Store(false)
 		log.Info("control instance lost", "control", fo.address, "cause", err.Error())
 	}
 }
@@ -210,6 +247,7 @@
 	}
 	before := d.version
 	d.version = publication.GetVersion()
+	d.versionAt = time.Now()
 	d.forwarder.book.Store(book)
 	d.forwarder.log.Info("configuration in force", "version", d.version, "before", before, "routes", len(book.Routes), "from", fo.address)
 	return nil
@@ -231,6 +269,7 @@
 func (d *directory) takeReplicas(response *wire.FollowResponse) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.heardAt = time.Now()
 	if response.GetIndex() <= d.index && d.known {
 		return
 	}
@@ -243,6 +282,7 @@
 		}
 	}
 	d.index = response.GetIndex()
+	d.indexNow.Store(d.index)
 	d.known = d.known || response.GetWhole()
 }
 
@@ -258,7 +298,10 @@
 
 func (d *directory) put(record *wire.Replica) {
 	d.records[record.GetId()] = record
-	d.forwarder.log.V(1).Info("replica", "replica", record.GetId(), "service", record.GetService(), "state", record.GetState().String(), "index", record.GetIndex())
+	if d.known {
+		d.forwarder.log.Info("replica changed", "replica", record.GetId(), "service", record.GetService(), "address", record.GetAddress(),
+			"state", record.GetState().String(), "index", record.GetIndex())
+	}
 	switch record.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_READY, wire.ReplicaState_REPLICA_STATE_LOST:
 		d.forwarder.putReplica(balancer.Replica{
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -38,6 +38,9 @@
 	exchanger *exchanger.Exchanger
 	book      atomic.Pointer[matcher.Book]
 	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	// droppedLines returns how many log lines were dropped; it may be nil.
+	droppedLines func() int64
 
 	// mutex guards what decisions are made by.
 	mutex    sync.Mutex
@@ -51,22 +54,25 @@
 	readiness *listener.Server
 	metrics   *listener.Server
 	meter     *meter
+	notes     *notes
+	gauger    *gauger
 	stop      chan struct{}
 	done      chan struct{}
 }
 
-// New starts the instance; it is ready once it has heard of routes and replicas.
-func New(settings *checker.Forwarder, log logr.Logger, protocol Protocol) (*Forwarder, error) {
+// New starts the instance, which is ready once it has heard of routes and replicas; droppedLines, which may be nil, returns how many log lines were dropped.
+func New(settings *checker.Forwarder, log logr.Logger, protocol Protocol, droppedLines func() int64) (*Forwarder, error) {
 	f := &Forwarder{
-		settings: settings,
-		log:      log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
-		protocol: protocol,
-		balancer: balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		windows:  map[string]*limiter.Window{},
-		sharers:  assumedSharers,
-		meter:    newMeter(),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		droppedLines: droppedLines,
+		settings:     settings,
+		log:          log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
+		protocol:     protocol,
+		balancer:     balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		windows:      map[string]*limiter.Window{},
+		sharers:      assumedSharers,
+		meter:        newMeter(),
+		stop:         make(chan struct{}),
+		done:         make(chan struct{}),
 	}
 	f.policies = &scatterer.Policies{
 		Balancer:  f.balancer,
@@ -76,10 +82,13 @@
 	}
 	f.exchanger = exchanger.New(protocol.Codec, f.connectionShare, f.meter.connectionOpened)
 	f.directory = newDirectory(f)
+	f.notes = newNotes(f.log, f.meter)
+	f.gauger = newGauger(f)
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
 	f.directory.start()
+	go f.gauger.run()
 	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
 	return f, nil
 }
@@ -104,6 +113,9 @@
 // IsStopping reports whether the instance is about to end, so that callers are to use other connections.
 func (f *Forwarder) IsStopping() bool { return f.stopping.Load() }
 
+// Denied counts a request that no route takes.
+func (f *Forwarder) Denied() { f.meter.denied.Inc(1) }
+
 // Book returns the routing configuration in force here, or nil.
 func (f *Forwarder) Book() *matcher.Book { return f.book.Load() }
 
@@ -131,6 +143,8 @@
 	f.callers.shutdown(ctx, time.Duration(f.current().DrainMs)*time.Millisecond)
 	close(f.stop)
 	f.directory.close()
+	f.gauger.close()
+	f.notes.close()
 	f.readiness.Close()
 	f.metrics.Close()
 	f.meter.reporter.Close()
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -15,14 +15,18 @@
 	goneLinger = 250 * time.Millisecond
 )
 
-// Serve answers one request of a caller; a route must have been matched.
-func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request) scatterer.Decision {
+// Serve answers one request of a caller, whose route is of the configuration's version.
+func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) scatterer.Decision {
 	r := &run{
 		forwarder: f,
 		call:      call,
 		exchanges: map[*scatterer.Attempt]*exchanger.Exchange{},
 		decided:   make(chan struct{}),
+		request:   request,
+		version:   version,
 	}
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
 	r.begin(request)
 	linger := loserLinger
 	select {
@@ -30,9 +34,7 @@
 	case <-ctx.Done():
 		linger = goneLinger
 	}
-	decision := r.end(linger)
-	f.note(call, request, r, decision)
-	return decision
+	return r.end(linger)
 }
 
 // run is one request under way.
@@ -44,8 +46,9 @@
 	timer     *time.Timer
 	decided   chan struct{}
 	over      bool
-	sent      int
-	repeats   int
+	request   scatterer.Request
+	version   uint64
+	attempts  []attemptNote
 }
 
 func (r *run) begin(request scatterer.Request) {
@@ -69,10 +72,12 @@
 // goOn sends what was decided, and waits for the next moment; the mutex is held.
 func (r *run) goOn(now time.Time, sends []*scatterer.Attempt) {
 	for _, a := range sends {
-		r.sent++
-		if a.Kind != scatterer.AttemptFirst {
-			r.repeats++
-		}
+		r.attempts = append(r.attempts, attemptNote{
+			attempt:  a,
+			expected: a.Replica.Latency(),
+			inFlight: a.Replica.InFlight(),
+			outcome:  outcomePending,
+		})
 		x := exchanger.NewExchange(a.Deadline.Add(deadlineSlack))
 		r.exchanges[a] = x
 		at := &attemptRun{
@@ -105,14 +110,61 @@
 	r.job.Abandon()
 	r.over = true
 	r.timer.Stop()
-	until := time.Now().Add(linger)
+	now := time.Now()
+	until := now.Add(linger)
 	for _, a := range r.job.Pending() {
 		// What may run just once is not broken off: its work would be lost, and could not be asked for again.
 		if x := r.exchanges[a]; x != nil && !r.call.Once {
 			x.Shorten(until)
 		}
 	}
-	return *r.job.Decision()
+	d := *r.job.Decision()
+	r.note(now, d)
+	return d
+}
+
+// outcomePending stands for the end of an attempt that had none when the request was answered.
+const outcomePending = "pending"
+
+// note counts the request, and hands on what is written of it; the mutex is held.
+func (r *run) note(now time.Time, d scatterer.Decision) {
+	f := r.forwarder
+	took := now.Sub(r.request.Arrived)
+	f.meter.request(r.request.Route.Name, &d, took)
+	if !isWanted(r.call, &d) {
+		return
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.outcome == outcomePending {
+			a.took = now.Sub(a.attempt.Began)
+		}
+	}
+	f.notes.add(requestNote{
+		call:     r.call,
+		request:  r.request,
+		decision: d,
+		version:  r.version,
+		index:    f.directory.indexNow.Load(),
+		shed:     r.job.LeastShare(now),
+		budget:   r.job.LeastBudget(now),
+		took:     took,
+		attempts: r.attempts,
+	})
+}
+
+// noteEnd keeps how an attempt ended, while the request has no answer yet; the mutex is held.
+func (r *run) noteEnd(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) {
+	r.forwarder.meter.attempt(a, outcome.Kind)
+	if r.over {
+		return
+	}
+	for i := range r.attempts {
+		if n := &r.attempts[i]; n.attempt == a {
+			n.outcome = outcome.Kind.String()
+			n.cause = outcome.Cause
+			n.took = now.Sub(a.Began)
+		}
+	}
 }
 
 // attemptRun is one attempt under way.
@@ -134,8 +186,6 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
-	if outcome.Kind != scatterer.OutcomeReplied && outcome.Cause != scatterer.CauseGivenUp {
-		f.noteFailure(r.call, a.attempt, outcome)
-	}
+	r.noteEnd(now, a.attempt, outcome)
 	r.goOn(now, r.job.Ended(now, a.attempt, outcome))
 }
--- a/internal/transport/gateway/control_test.go
+++ b/internal/transport/gateway/control_test.go
@@ -132,7 +132,7 @@
 			DataFolder:        folder,
 			Members:           members,
 			ElectionTimeoutMs: 500,
-		}, logr.Discard())
+		}, logr.Discard(), tally.NoopScope)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -10,10 +10,13 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/controller"
 	"pimentogate.example/pimentogate/internal/transport/gateway"
 	"pimentogate.example/pimentogate/internal/transport/logger"
+	"pimentogate.example/pimentogate/internal/transport/reporter"
 	"pimentogate.example/pimentogate/internal/transport/storer"
 )
 
@@ -33,16 +36,15 @@
 	if err != nil {
 		return err
 	}
-	out := o.errOut
-	if settings.Platform != nil {
-		out = o.out
-	}
-	log := logger.New(out, settings.LogLevel)
-	c, err := controller.New(settings, log)
+	log, lines := o.controlLog(settings)
+	defer lines.Close()
+	metrics := reporter.New()
+	defer metrics.Close()
+	c, err := controller.New(settings, log, metrics.Scope)
 	if err != nil {
 		return err
 	}
-	served, err := o.servePlatform(settings, c, log)
+	served, err := o.servePlatform(settings, c, log, metrics)
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
@@ -53,6 +55,14 @@
 	return c.Close()
 }
 
+// controlLog returns the log of a control instance: on standard output where a platform runs it.
+func (o *Operator) controlLog(settings *checker.Control) (logr.Logger, *logger.Bounded) {
+	if settings.Platform == nil {
+		return logger.NewBounded(o.errOut, settings.LogLevel, logger.DefaultBounds)
+	}
+	return logger.NewBounded(o.out, settings.LogLevel, logger.DefaultBounds)
+}
+
 func (o *Operator) entry(flags *flag.FlagSet, arguments []string) error {
 	settings, _, err := readSettings(flags, arguments, "entry", checker.ReadEntry)
 	if err != nil {
--- a/internal/transport/operator/machines.go
+++ b/internal/transport/operator/machines.go
@@ -28,8 +28,9 @@
 	if err != nil {
 		return err
 	}
-	log := logger.New(o.out, settings.LogLevel)
-	f, err := forwarder.New(settings, log, o.platform.Forwarding)
+	log, lines := logger.NewBounded(o.out, settings.LogLevel, logger.DefaultBounds)
+	defer lines.Close()
+	f, err := forwarder.New(settings, log, o.platform.Forwarding, lines.Dropped)
 	if err != nil {
 		return err
 	}
@@ -44,13 +45,12 @@
 
 // platformControl is what a control instance serves to a platform beside its own interface.
 type platformControl struct {
-	api      *listener.Server
-	metrics  *listener.Server
-	reporter *reporter.Reporter
+	api     *listener.Server
+	metrics *listener.Server
 }
 
 // servePlatform starts what the settings name; nil where they name nothing.
-func (o *Operator) servePlatform(settings *checker.Control, c *controller.Controller, log logr.Logger) (*platformControl, error) {
+func (o *Operator) servePlatform(settings *checker.Control, c *controller.Controller, log logr.Logger, metrics *reporter.Reporter) (*platformControl, error) {
 	if settings.Platform == nil {
 		return nil, nil
 	}
@@ -59,11 +59,10 @@
 		return nil, err
 	}
 	p := &platformControl{
-		api:      api,
-		reporter: reporter.New(),
+		api: api,
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", p.reporter.Handler())
+	mux.Handle("/metrics", metrics.Handler())
 	p.metrics, err = listener.New(settings.Platform.ListenMetrics, mux)
 	if err != nil {
 		api.Close()
@@ -81,7 +80,6 @@
 	defer cancel()
 	_ = p.api.Shutdown(ctx)
 	p.metrics.Close()
-	p.reporter.Close()
 }
 
 // apiDrain bounds the wait for calls of operators and replicas when the instance is told to end.
