--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -111,6 +111,12 @@
 			example: "pimentogate report -control 127.0.0.1:7101,127.0.0.1:7102 -from 2026-01-31T08:00:00Z -tenant bakery",
 			run:     (*Operator).report,
 		},
+		{
+			name:    "trace",
+			summary: "tell the story of one request from the logs of several processes",
+			example: "pimentogate trace 9c41d07be2a35f68 entry-1.log entry-2.log control-1.log",
+			run:     (*Operator).trace,
+		},
 	}
 }
 
