--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -47,6 +47,9 @@
 // Latency returns the moving average of the replica's answers, 0 before the first.
 func (s *State) Latency() time.Duration { return s.latency }
 
+// HasFreeSlot reports whether this instance has left a slot of the replica free.
+func (s *State) HasFreeSlot() bool { return s.Slots == 0 || s.InFlight() < s.Slots }
+
 // InFlight returns how many attempts have no answer yet.
 func (s *State) InFlight() int { return len(s.starts) }
 
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -329,7 +329,8 @@
 // place chooses a replica and takes what the attempt costs from the budget; nil where there is no replica, or no budget, which sets retryAt.
 func (j *Job) place(now time.Time, i int, s *shard, kind AttemptKind) *Attempt {
 	replica := j.policies.Balancer.Pick(now, s.service, func(r *balancer.State) bool {
-		return !slices.Contains(s.tried, r.ID)
+		// A hedge that would queue behind this instance's own work helps nobody.
+		return !slices.Contains(s.tried, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
 	})
 	if replica == nil {
 		return nil
