Give machines a program that links only what they need

Change: launcher starts instances, pimentogate-machine links it with the platform's adapter; pimentogate uses the launcher for control.

--- /dev/null
+++ b/internal/transport/launcher/launcher_test.go
@@ -0,0 +1,83 @@
+package launcher
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"pimentogate.example/pimentogate/internal/protocol/checker"
+)
+
+func TestBadCommandLines(t *testing.T) {
+	folder := t.TempDir()
+	platform := filepath.Join(folder, "control.json")
+	content := `{"instance": "c", "zone": "a", "listen": "127.0.0.1:1", "data-folder": "x", "formation": {"seeds": ["127.0.0.1:1"]}, "platform": {"listen": "127.0.0.1:2", "listen-metrics": "127.0.0.1:3"}}`
+	if err := os.WriteFile(platform, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		arguments, want string
+	}{
+		{"", `role ""`},
+		{"front", `role "front"`},
+		{"entry -setting a", "flag provided but not defined"},
+		{"entry -settings /no/such/file", `settings file "/no/such/file"`},
+		{"control -settings " + platform, "platform: this program serves no platform"},
+	}
+	for _, c := range cases {
+		var out, errOut bytes.Buffer
+		status := New(&out, &errOut, Platform{}).Run(strings.Fields(c.arguments))
+		if status != ExitUsage || !strings.Contains(errOut.String(), c.want) {
+			t.Errorf("%q: status %d, %s", c.arguments, status, errOut.String())
+		}
+	}
+}
+
+// TestWatcher holds that a changed file is put in force without a signal, and one with mistakes is not.
+func TestWatcher(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.json")
+	write := func(level string, at time.Time) {
+		content := `{"instance": "e", "zone": "a", "listen-callers": "127.0.0.1:1", "listen-readiness": "127.0.0.1:2", "listen-metrics": "127.0.0.1:3", "control-seeds": ["127.0.0.1:4"], "control-peers": "127.0.0.1:5", "log-level": "` + level + `"}`
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := time.Now().Add(-time.Hour)
+	write("info", start)
+	var mutex sync.Mutex
+	var levels []string
+	w := newWatcher(path, checker.ReadForwarder, func(settings *checker.Forwarder) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		levels = append(levels, settings.LogLevel)
+	}, logr.Discard())
+	defer w.close()
+	applied := func(want int) bool {
+		limit := time.Now().Add(3 * lookPeriod)
+		for time.Now().Before(limit) {
+			mutex.Lock()
+			got := len(levels)
+			mutex.Unlock()
+			if got >= want {
+				return true
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return false
+	}
+	write("loud", start.Add(time.Minute))
+	time.Sleep(lookPeriod + 200*time.Millisecond)
+	write("debug", start.Add(2*time.Minute))
+	if !applied(1) || levels[0] != "debug" {
+		t.Errorf("in force: %v", levels)
+	}
+}
--- a/internal/transport/operator/watcher.go
+++ b/internal/transport/launcher/watcher.go
@@ -1,4 +1,4 @@
-package operator
+package launcher
 
 import (
 	"os"
--- a/internal/transport/operator/changes.go
+++ b/internal/transport/operator/changes.go
@@ -16,6 +16,7 @@
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/gateway"
+	"pimentogate.example/pimentogate/internal/transport/launcher"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -28,7 +29,7 @@
 
 func (o *Operator) plan(flags *flag.FlagSet, arguments []string) error {
 	control := controlFlag(flags)
-	if err := parse(flags, arguments, 1); err != nil {
+	if err := launcher.Parse(flags, arguments, 1); err != nil {
 		return err
 	}
 	intent, err := readFile(flags.Arg(0), checker.DecodeIntent)
@@ -49,7 +50,7 @@
 func (o *Operator) confirm(flags *flag.FlagSet, arguments []string) error {
 	control := controlFlag(flags)
 	id := flags.String("id", "", "name of this confirm, the same in a resend; made up where it is empty")
-	if err := parse(flags, arguments, 1); err != nil {
+	if err := launcher.Parse(flags, arguments, 1); err != nil {
 		return err
 	}
 	plan, err := readFile(flags.Arg(0), checker.DecodePlan)
--- a/internal/transport/operator/help_test.go
+++ b/internal/transport/operator/help_test.go
@@ -10,7 +10,7 @@
 
 func call(arguments ...string) (int, string, string) {
 	var out, errOut bytes.Buffer
-	status := New(&out, &errOut, Platform{}).Run(arguments)
+	status := New(&out, &errOut).Run(arguments)
 	return status, out.String(), errOut.String()
 }
 
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -6,22 +6,19 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"pimentogate.example/pimentogate/internal/transport/launcher"
 )
 
 // The exit statuses of every verb.
 const (
-	ExitDone    = 0
-	ExitFailure = 1
-	ExitUsage   = 2
+	ExitDone    = launcher.ExitDone
+	ExitFailure = launcher.ExitFailure
+	ExitUsage   = launcher.ExitUsage
 )
 
 // UsageError is a mistake in a command line or a settings file.
-type UsageError struct {
-	Reason string
-}
-
-// Error says what is wrong.
-func (e *UsageError) Error() string { return e.Reason }
+type UsageError = launcher.UsageError
 
 type verb struct {
 	name    string
@@ -35,17 +32,14 @@
 	out    io.Writer
 	errOut io.Writer
 	verbs  []verb
-	// platform is the adapter for instances that a platform runs.
-	platform Platform
 }
 
 // New returns a command line that prints results on out, and logs and errors on errOut.
-func New(out, errOut io.Writer, platform Platform) *Operator {
+func New(out, errOut io.Writer) *Operator {
 	return &Operator{
-		out:      out,
-		errOut:   errOut,
-		verbs:    allVerbs(),
-		platform: platform,
+		out:    out,
+		errOut: errOut,
+		verbs:  allVerbs(),
 	}
 }
 
@@ -75,12 +69,6 @@
 			example: "pimentogate entry -settings entry-1.json",
 			run:     (*Operator).entry,
 		},
-		{
-			name:    "forward",
-			summary: "run an entry instance that forwards to the replicas enrolled at control",
-			example: "pimentogate forward -settings forward-1.json",
-			run:     (*Operator).forward,
-		},
 		{
 			name:    "check",
 			summary: "read a settings file and name every mistake in it",
@@ -123,17 +111,10 @@
 // Run runs the arguments and returns the exit status.
 func (o *Operator) Run(arguments []string) int {
 	err := o.dispatch(arguments)
-	var usage *UsageError
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
-		return ExitDone
-	case errors.As(err, &usage):
-		fmt.Fprintln(o.errOut, "pimentogate:", err)
-		return ExitUsage
-	default:
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(o.errOut, "pimentogate:", err)
-		return ExitFailure
 	}
+	return launcher.Status(err)
 }
 
 func (o *Operator) dispatch(arguments []string) error {
@@ -175,21 +156,3 @@
 	}
 	return flags
 }
-
-func parse(flags *flag.FlagSet, arguments []string, files int) error {
-	err := flags.Parse(arguments)
-	if errors.Is(err, flag.ErrHelp) {
-		return err
-	}
-	if err != nil {
-		return &UsageError{
-			Reason: err.Error(),
-		}
-	}
-	if flags.NArg() != files {
-		return &UsageError{
-			Reason: fmt.Sprintf("%s takes %d file names, %d given", flags.Name(), files, flags.NArg()),
-		}
-	}
-	return nil
-}
--- a/internal/transport/operator/report.go
+++ b/internal/transport/operator/report.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/state/recorder"
+	"pimentogate.example/pimentogate/internal/transport/launcher"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
@@ -59,7 +60,7 @@
 	service := flags.String("service", "", "count this service only")
 	request := flags.String("request", "", "trace the request with this id")
 	asJSON := flags.Bool("json", false, "print JSON for programs")
-	if err := parse(flags, arguments, 0); err != nil {
+	if err := launcher.Parse(flags, arguments, 0); err != nil {
 		return err
 	}
 	ask := &wire.ReportRequest{
--- a/internal/transport/operator/status.go
+++ b/internal/transport/operator/status.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/transport/launcher"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -49,7 +50,7 @@
 func (o *Operator) status(flags *flag.FlagSet, arguments []string) error {
 	control := controlFlag(flags)
 	asJSON := flags.Bool("json", false, "print JSON for programs in place of a table")
-	if err := parse(flags, arguments, 0); err != nil {
+	if err := launcher.Parse(flags, arguments, 0); err != nil {
 		return err
 	}
 	gathered, reached := gatherStatus(strings.Split(*control, ","))
--- a/internal/transport/operator/try.go
+++ b/internal/transport/operator/try.go
@@ -9,6 +9,7 @@
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/assembler"
+	"pimentogate.example/pimentogate/internal/transport/launcher"
 	"pimentogate.example/pimentogate/internal/transport/logger"
 )
 
@@ -25,7 +26,7 @@
 
 // try brings the whole path up in this process and asks it twice.
 func (o *Operator) try(flags *flag.FlagSet, arguments []string) error {
-	if err := parse(flags, arguments, 0); err != nil {
+	if err := launcher.Parse(flags, arguments, 0); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tryLimit)
