--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -28,6 +28,7 @@
 	hard     *wire.HardState
 	snapshot *wire.JournalSnapshot
 	entries  []*wire.JournalEntry
+	commit   uint64
 }
 
 // save makes the actions durable; torn stops between the snapshot and the journal behind it.
@@ -38,6 +39,9 @@
 	if torn {
 		return
 	}
+	if actions.IsDurable() {
+		d.commit = max(d.commit, actions.Commit)
+	}
 	if actions.Hard != nil {
 		d.hard = proto.CloneOf(actions.Hard)
 	}
@@ -154,6 +158,7 @@
 	saved := Saved{
 		Hard:     proto.CloneOf(n.disk.hard),
 		Snapshot: proto.CloneOf(n.disk.snapshot),
+		Commit:   n.disk.commit,
 	}
 	for _, entry := range Tail(n.disk.snapshot, n.disk.entries) {
 		saved.Entries = append(saved.Entries, proto.CloneOf(entry))
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -52,6 +52,8 @@
 	Entries []*wire.JournalEntry
 	// Messages are to be sent after the sync.
 	Messages []*wire.JournalMessage
+	// Commit is the highest committed index, to be stored beside the entries.
+	Commit uint64
 	// Committed are to be applied in order after the sync.
 	Committed []*wire.JournalEntry
 }
@@ -91,6 +93,8 @@
 	Hard     *wire.HardState
 	Snapshot *wire.JournalSnapshot
 	Entries  []*wire.JournalEntry
+	// Commit is the highest index that was known to be committed when the journal was written last.
+	Commit uint64
 }
 
 type progress struct {
@@ -147,6 +151,7 @@
 	m.commit = saved.Snapshot.GetIndex()
 	m.delivered = m.commit
 	m.refreshMembers()
+	m.commitTo(saved.Commit)
 	// A restart has forgotten when it last confirmed a leader's lease, so it takes that to be now.
 	m.heardAt = now
 	m.resetElection(now)
@@ -206,6 +211,7 @@
 	}
 	m.owesRound = false
 	taken := m.actions
+	taken.Commit = m.commit
 	m.actions = Actions{}
 	return taken
 }
--- a/internal/state/journaler/machine_test.go
+++ b/internal/state/journaler/machine_test.go
@@ -168,3 +168,26 @@
 		t.Errorf("truncates from %d, last index %d; want 3 and 2", actions.TruncateFrom, m.LastIndex())
 	}
 }
+
+// TestRestartKnowsWhatWasCommitted holds that a restart applies what its journal says was committed, before any leader is heard, and no more than the journal holds.
+func TestRestartKnowsWhatWasCommitted(t *testing.T) {
+	for _, c := range []struct{ stored, want uint64 }{{0, 0}, {2, 2}, {9, 3}} {
+		saved := Saved{
+			Hard: &wire.HardState{
+				Id: "a",
+			},
+			Commit: c.stored,
+		}
+		for index := range uint64(3) {
+			saved.Entries = append(saved.Entries, &wire.JournalEntry{
+				Index: index + 1,
+				Term:  1,
+			})
+		}
+		m := New(testTiming, rand.New(rand.NewPCG(1, 1)), saved, time.Unix(1000, 0))
+		actions := m.Take()
+		if m.Commit() != c.want || len(actions.Committed) != int(c.want) || m.Role() != Follower {
+			t.Errorf("stored %d: commit %d, %d to apply, role %d", c.stored, m.Commit(), len(actions.Committed), m.Role())
+		}
+	}
+}
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -18,15 +18,17 @@
 
 const (
 	// followHold is how long control holds a call while nothing changes.
-	followHold = time.Second
+	followHold = 500 * time.Millisecond
 	// followLimit ends a call that is not answered, as on a connection that has gone silent.
-	followLimit = followHold + 500*time.Millisecond
+	followLimit = followHold + 400*time.Millisecond
 	// followAgain is the pause after a call that failed.
 	followAgain = 200 * time.Millisecond
 	// documentLimit bounds the fetch of a configuration.
 	documentLimit = 1500 * time.Millisecond
-	// unconfirmedAfter is how long a new instance waits for a control instance in contact with a quorum before it takes the word of one that is cut off.
-	unconfirmedAfter = 1500 * time.Millisecond
+	// unconfirmedAfter is how long a new instance waits for a control instance in contact with a quorum before it takes the word of two others, since what one has missed another mostly has.
+	unconfirmedAfter = 300 * time.Millisecond
+	// unconfirmedAloneAfter is the same for the word of a single one, which may be cut off.
+	unconfirmedAloneAfter = 1500 * time.Millisecond
 )
 
 // directory follows the control instances: one loop each, of which the first with news is heard.
@@ -46,7 +48,9 @@
 	heardAt   time.Time
 	records   map[string]*wire.Replica
 	control   map[string]*follower
-	stopping  bool
+	// unconfirmed are the control instances that have answered without a quorum while nothing was known.
+	unconfirmed map[string]bool
+	stopping    bool
 }
 
 // follower follows one control instance.
@@ -62,10 +66,11 @@
 
 func newDirectory(f *Forwarder) *directory {
 	d := &directory{
-		forwarder: f,
-		started:   time.Now(),
-		records:   map[string]*wire.Replica{},
-		control:   map[string]*follower{},
+		forwarder:   f,
+		started:     time.Now(),
+		records:     map[string]*wire.Replica{},
+		control:     map[string]*follower{},
+		unconfirmed: map[string]bool{},
 	}
 	d.followers.Store(assumedSharers)
 	return d
@@ -204,7 +209,7 @@
 // take puts in force what is newer; while nothing is known, only from a control instance that may be believed.
 func (fo *follower) take(response *wire.FollowResponse) error {
 	d := fo.directory
-	if !d.isKnown() && !response.GetConfirmed() && time.Since(d.started) < unconfirmedAfter {
+	if !d.isKnown() && !response.GetConfirmed() && !d.mayBelieve(fo.address) {
 		select {
 		case <-fo.ctx.Done():
 		case <-time.After(followAgain):
@@ -220,6 +225,15 @@
 	return nil
 }
 
+// mayBelieve reports whether an instance that knows nothing yet takes the word of a control instance without a quorum.
+func (d *directory) mayBelieve(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.unconfirmed[address] = true
+	waited := time.Since(d.started)
+	return waited >= unconfirmedAloneAfter || waited >= unconfirmedAfter && len(d.unconfirmed) > 1
+}
+
 func (d *directory) held() uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/transport/storer/file.go
+++ b/internal/transport/storer/file.go
@@ -15,6 +15,8 @@
 type contents struct {
 	hard    *wire.HardState
 	entries []*wire.JournalEntry
+	// committed is the highest index that a batch says is committed.
+	committed uint64
 	// end is where the last whole record ends, in bytes.
 	end int64
 }
@@ -58,6 +60,7 @@
 	if err := proto.Unmarshal(payload, batch); err != nil {
 		return c.corrupt()
 	}
+	c.committed = max(c.committed, batch.GetCommitted())
 	for _, record := range batch.GetRecords() {
 		if err := c.takeRecord(record); err != nil {
 			return err
@@ -91,7 +94,7 @@
 // openJournal opens the journal for appends behind what is saved: it cuts a torn write, and drops entries that a snapshot has replaced where a crash kept them.
 func openJournal(folder string, content contents, saved journaler.Saved) (*os.File, error) {
 	if len(saved.Entries) != len(content.entries) {
-		if err := writeJournal(folder, saved.Hard, saved.Entries); err != nil {
+		if err := writeJournal(folder, saved.Hard, saved.Entries, saved.Commit); err != nil {
 			return nil, err
 		}
 		return openAppend(folder)
--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -26,6 +26,8 @@
 	folder string
 	file   *os.File
 	hard   *wire.HardState
+	// committed is the highest index that the file says is committed.
+	committed uint64
 	// entries are those in the file, kept to rewrite it behind a snapshot.
 	entries []*wire.JournalEntry
 	// torn is set after a failed write or sync: what the file holds behind its last good sync is not known, so the next Save writes all of it anew.
@@ -55,7 +57,7 @@
 	}
 	return writeJournal(folder, &wire.HardState{
 		Id: id,
-	}, nil)
+	}, nil, 0)
 }
 
 // FormBlank writes the journal of an instance that knows no membership yet, under an identity that it never had before.
@@ -65,7 +67,7 @@
 	}
 	return writeJournal(folder, &wire.HardState{
 		Id: id,
-	}, nil)
+	}, nil, 0)
 }
 
 // Open reads what the data folder holds, cutting a torn tail, and returns it with the open journal; ErrEmpty where there is none.
@@ -87,6 +89,7 @@
 		Hard:     content.hard,
 		Snapshot: snapshot,
 		Entries:  journaler.Tail(snapshot, content.entries),
+		Commit:   content.committed,
 	}
 	if err := checkSaved(saved); err != nil {
 		return nil, saved, err
@@ -96,10 +99,11 @@
 		return nil, saved, err
 	}
 	s := &Storer{
-		folder:  folder,
-		file:    file,
-		hard:    content.hard,
-		entries: saved.Entries,
+		folder:    folder,
+		file:      file,
+		hard:      content.hard,
+		entries:   saved.Entries,
+		committed: content.committed,
 	}
 	return s, saved, nil
 }
@@ -127,6 +131,7 @@
 	}
 	s.hard = hard
 	s.entries = entries
+	s.committed = max(s.committed, actions.Commit)
 	s.torn = false
 	return nil
 }
@@ -136,13 +141,14 @@
 		if err := s.placeSnapshot(actions.Snapshot); err != nil {
 			return err
 		}
-		return s.rewrite(hard, entries)
+		return s.rewrite(hard, entries, actions.Commit)
 	}
 	if s.torn {
-		return s.rewrite(hard, entries)
+		return s.rewrite(hard, entries, actions.Commit)
 	}
 	frame, err := encodeFrame(&wire.JournalBatch{
-		Records: recordsOf(actions),
+		Records:   recordsOf(actions),
+		Committed: actions.Commit,
 	})
 	if err != nil {
 		return err
@@ -182,8 +188,8 @@
 }
 
 // rewrite puts a new file in the journal's place.
-func (s *Storer) rewrite(hard *wire.HardState, entries []*wire.JournalEntry) error {
-	if err := writeJournal(s.folder, hard, entries); err != nil {
+func (s *Storer) rewrite(hard *wire.HardState, entries []*wire.JournalEntry, committed uint64) error {
+	if err := writeJournal(s.folder, hard, entries, max(s.committed, committed)); err != nil {
 		return err
 	}
 	file, err := openAppend(s.folder)
@@ -252,13 +258,14 @@
 	}
 }
 
-func writeJournal(folder string, hard *wire.HardState, entries []*wire.JournalEntry) error {
+func writeJournal(folder string, hard *wire.HardState, entries []*wire.JournalEntry, committed uint64) error {
 	records := []*wire.JournalRecord{hardRecord(hard)}
 	for _, entry := range entries {
 		records = append(records, entryRecord(entry))
 	}
 	frame, err := encodeFrame(&wire.JournalBatch{
-		Records: records,
+		Records:   records,
+		Committed: committed,
 	})
 	if err != nil {
 		return err
--- a/internal/transport/storer/storer_test.go
+++ b/internal/transport/storer/storer_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// TestCommitIsKept holds that the highest index known to be committed comes back after a restart, also behind a rewritten journal.
+func TestCommitIsKept(t *testing.T) {
+	folder := formed(t)
+	s, saved, err := Open(folder)
+	check(t, err)
+	if saved.Commit != 0 {
+		t.Errorf("commit %d of a new journal", saved.Commit)
+	}
+	next := actions(entry(entryCount+1, termBefore))
+	next.Commit = 4
+	check(t, s.Save(next))
+	s.torn = true
+	next = actions(entry(entryCount+2, termBefore))
+	next.Commit = 3
+	check(t, s.Save(next))
+	check(t, s.Close())
+	if saved := reopen(t, folder); saved.Commit != 4 {
+		t.Errorf("commit %d, want 4", saved.Commit)
+	}
+}
+
 // TestFailedWriteIsRetried holds that a failed write is never taken for a success, and that the same actions, saved again, leave just what was saved, without what the failed write left behind.
 func TestFailedWriteIsRetried(t *testing.T) {
 	folder := formed(t)
