Give up a dial between own processes after 300 ms

Cause: entry instances that started before the control instances waited a second for a dial that nobody answered, and refused meanwhile.

--- a/internal/state/journaler/log.go
+++ b/internal/state/journaler/log.go
@@ -6,6 +6,8 @@
 type Log struct {
 	snapshot *wire.JournalSnapshot
 	entries  []*wire.JournalEntry
+	// size is what the entries carry, in bytes.
+	size int
 }
 
 // NewLog returns a log that starts after the snapshot, which may be nil.
@@ -16,9 +18,18 @@
 	return &Log{
 		snapshot: snapshot,
 		entries:  entries,
+		size:     sizeOf(entries),
 	}
 }
 
+func sizeOf(entries []*wire.JournalEntry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.GetPayload())
+	}
+	return size
+}
+
 // FirstIndex returns the lowest index whose entry is held.
 func (l *Log) FirstIndex() uint64 {
 	return l.snapshot.GetIndex() + 1
@@ -61,6 +72,7 @@
 // Append adds entries behind the last one.
 func (l *Log) Append(entries ...*wire.JournalEntry) {
 	l.entries = append(l.entries, entries...)
+	l.size += sizeOf(entries)
 }
 
 // TruncateFrom drops the entry at the index and all after it.
@@ -70,6 +82,7 @@
 	}
 	kept := l.entries[:index-l.FirstIndex()]
 	l.entries = append([]*wire.JournalEntry(nil), kept...)
+	l.size = sizeOf(l.entries)
 }
 
 // Compact replaces everything up to the snapshot's index by the snapshot.
@@ -84,4 +97,5 @@
 	}
 	l.snapshot = snapshot
 	l.entries = tail
+	l.size = sizeOf(tail)
 }
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -390,13 +390,7 @@
 func (m *Machine) LogSize() int { return len(m.log.entries) }
 
 // LogBytes returns the size of what the entries behind the snapshot carry.
-func (m *Machine) LogBytes() int {
-	size := 0
-	for _, entry := range m.log.entries {
-		size += len(entry.GetPayload())
-	}
-	return size
-}
+func (m *Machine) LogBytes() int { return m.log.size }
 
 // InContact reports whether this instance leads with its lease, or has heard its leader within the election timeout.
 func (m *Machine) InContact(now time.Time) bool {
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -13,9 +13,10 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	dialTimeout   = time.Second
-	pingAfter     = 2 * time.Second
-	pingTimeout   = 2 * time.Second
+	// dialTimeout is some round trips between regions; a machine without power answers nothing, and is asked anew soon after it is back.
+	dialTimeout = 300 * time.Millisecond
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 	// compressFrom is a size in bytes.
 	compressFrom = 64 << 10
 )
