Withdraw entry instances that are cut off and can't answer

Change: advertiser: with most control instances out of reach and most requests unanswered the instance is not ready, and answers close their connections; it is back at once when control is. Ruled out: by unanswered requests alone, since replicas that fail everywhere would take every instance out.

--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/advertiser"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/listener"
@@ -94,7 +95,6 @@
 	index      uint64
 	heardAge   time.Duration
 	replicas   int
-	reached    int
 }
 
 func (d *directory) standing(now time.Time) standing {
@@ -111,12 +111,22 @@
 	if d.known {
 		s.heardAge = now.Sub(d.heardAt)
 	}
+	return s
+}
+
+// contact returns how many control instances answer.
+func (d *directory) contact() advertiser.Contact {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	c := advertiser.Contact{
+		Known: len(d.control),
+	}
 	for _, fo := range d.control {
 		if fo.reached.Load() {
-			s.reached++
+			c.Reached++
 		}
 	}
-	return s
+	return c
 }
 
 // follow begins to follow the control instances that are not followed yet.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"pimentogate.example/pimentogate/internal/coordination/advertiser"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
@@ -43,11 +44,13 @@
 	droppedLines func() int64
 
 	// mutex guards what decisions are made by.
-	mutex    sync.Mutex
-	balancer *balancer.Balancer
-	windows  map[string]*limiter.Window
-	policies *scatterer.Policies
-	sharers  int
+	mutex      sync.Mutex
+	balancer   *balancer.Balancer
+	windows    map[string]*limiter.Window
+	policies   *scatterer.Policies
+	advertiser *advertiser.Advertiser
+	withdrawn  bool
+	sharers    int
 
 	directory *directory
 	callers   *callerServer
@@ -70,6 +73,7 @@
 		balancer:     balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		windows:      map[string]*limiter.Window{},
 		sharers:      assumedSharers,
+		advertiser:   advertiser.New(),
 		meter:        newMeter(),
 		stop:         make(chan struct{}),
 		done:         make(chan struct{}),
@@ -107,11 +111,26 @@
 
 // IsReady reports whether callers may be sent here.
 func (f *Forwarder) IsReady() bool {
-	return !f.stopping.Load() && f.book.Load() != nil && f.directory.isKnown()
+	return !f.stopping.Load() && f.book.Load() != nil && f.directory.isKnown() && !f.isWithdrawn()
 }
 
-// IsStopping reports whether the instance is about to end, so that callers are to use other connections.
-func (f *Forwarder) IsStopping() bool { return f.stopping.Load() }
+// SendsAway reports whether callers are to use other connections: the instance is about to end, or can't answer most of them.
+func (f *Forwarder) SendsAway() bool {
+	return f.stopping.Load() || f.isWithdrawn()
+}
+
+// isWithdrawn reports whether the instance is cut off and better left alone.
+func (f *Forwarder) isWithdrawn() bool {
+	contact := f.directory.contact()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	withdrawn := !f.advertiser.Advertises(time.Now(), contact)
+	if withdrawn != f.withdrawn {
+		f.withdrawn = withdrawn
+		f.log.Info("advertised to callers", "ready", !withdrawn, "control-reached", contact.Reached, "control-known", contact.Known)
+	}
+	return withdrawn
+}
 
 // Denied counts a request that no route takes.
 func (f *Forwarder) Denied() { f.meter.denied.Inc(1) }
--- a/internal/transport/forwarder/gauger.go
+++ b/internal/transport/forwarder/gauger.go
@@ -55,7 +55,7 @@
 	m.table.Update(float64(standing.index))
 	m.tableAge.Update(standing.heardAge.Seconds())
 	m.replicas.Update(float64(standing.replicas))
-	m.control.Update(float64(standing.reached))
+	m.control.Update(float64(f.directory.contact().Reached))
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m.sharers.Update(float64(f.sharers))
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -131,6 +131,9 @@
 	f := r.forwarder
 	took := now.Sub(r.request.Arrived)
 	f.meter.request(r.request.Route.Name, &d, took)
+	if d.Reason != scatterer.ReasonAbandoned {
+		f.advertiser.Observe(now, d.Kind == scatterer.Relayed || d.Kind == scatterer.Gathered)
+	}
 	if !isWanted(r.call, &d) {
 		return
 	}
