Divide limits by no fewer instances than were heard of lately

Change: a control instance tells no number before it has listened for 5 s; a smaller number counts only after nothing greater was heard for 15 s; a connection beyond a share that has shrunk is closed after its answer.

--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -15,12 +15,15 @@
 	index   uint64
 	changed chan struct{}
 	seen    map[string]time.Time
+	// started is when this instance began to count.
+	started time.Time
 }
 
 func newFollowers() *followers {
 	return &followers{
 		changed: make(chan struct{}),
 		seen:    map[string]time.Time{},
+		started: time.Now(),
 	}
 }
 
@@ -57,7 +60,7 @@
 	return count
 }
 
-// note counts an entry instance as a follower, and returns how many there are.
+// note counts an entry instance as a follower, and returns how many there are; 0 while this instance has not listened long enough to know.
 func (f *followers) note(now time.Time, instance string) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -67,5 +70,8 @@
 			delete(f.seen, name)
 		}
 	}
+	if now.Sub(f.started) < followerLife {
+		return 0
+	}
 	return len(f.seen)
 }
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -113,7 +113,7 @@
 		_ = conn.Close()
 		return
 	}
-	if !keep {
+	if !keep || known.open > p.limit(target.Service) {
 		known.open--
 		_ = conn.Close()
 	} else {
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -11,6 +11,7 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/advertiser"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -37,6 +38,7 @@
 	forwarder *Forwarder
 	started   time.Time
 	followers atomic.Int64
+	sharers   *limiter.Sharers
 	// indexNow is index, for those that don't hold the mutex.
 	indexNow atomic.Uint64
 
@@ -73,6 +75,7 @@
 		control:     map[string]*follower{},
 		unconfirmed: map[string]bool{},
 	}
+	d.sharers = limiter.NewSharers(assumedSharers)
 	d.followers.Store(assumedSharers)
 	return d
 }
@@ -283,10 +286,9 @@
 		members = append(members, member.GetAddress())
 	}
 	d.follow(members)
-	if count := response.GetFollowers(); count > 0 {
-		d.followers.Store(int64(count))
-		d.forwarder.share(int(count))
-	}
+	count := d.sharers.Hear(time.Now(), int(response.GetFollowers()))
+	d.followers.Store(int64(count))
+	d.forwarder.share(count)
 	d.takeReplicas(response)
 }
 
