--- a/internal/transport/forwarder/notes.go
+++ b/internal/transport/forwarder/notes.go
@@ -104,7 +104,9 @@
 		"waits-ms", note.waits(), "retry-after-ms", d.RetryAfter.Milliseconds(), "attempts", len(note.attempts),
 		"version", note.version, "table", note.index, "least-shed-share", note.shed, "least-budget-left", note.budget)
 	for i := range note.attempts {
-		if a := &note.attempts[i]; whole || a.outcome != scatterer.OutcomeReplied.String() {
+		a := &note.attempts[i]
+		// Parts that came as they should say nothing about those that did not.
+		if whole || !note.request.Route.IsGathered() || a.outcome != scatterer.OutcomeReplied.String() {
 			n.writeAttempt(log, note, a)
 		}
 	}
