--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -252,8 +252,8 @@
 	if !j.request.Route.IsGathered() || a.Kind != AttemptFirst {
 		return
 	}
-	// An answer in the second half of the time that it had says that the next may come too late.
-	useful := a.Began.Add(j.soft.Sub(a.Began) / 2)
+	// An answer in the last quarter of the time that it had says that the next may come too late.
+	useful := a.Began.Add(j.soft.Sub(a.Began) * 3 / 4)
 	j.policies.Shedder.Observe(now, j.load(a.Service), outcome.Kind == OutcomeRejected || now.After(useful))
 }
 
