--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -286,6 +286,23 @@
 	}
 }
 
+// TestPlanNeedsQuorum holds that a leader answers no plan that a quorum has not confirmed since it was asked, also within its lease.
+func TestPlanNeedsQuorum(t *testing.T) {
+	f := newFleet(t, 3)
+	f.await(0)
+	leads := f.leader()
+	for i := range f.controls {
+		if i != leads {
+			f.stop(i)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testElection/2*time.Millisecond)
+	defer cancel()
+	if _, _, err := f.controls[leads].leaderConfig(ctx); err == nil {
+		t.Error("a plan was made without a quorum")
+	}
+}
+
 func replicaOf(sequence uint64, state wire.ReplicaState) *wire.Replica {
 	return &wire.Replica{
 		Id:       "r1",
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -216,26 +216,18 @@
 	return contact, err
 }
 
+// leaderConfig returns what is in force behind a place in the journal that was committed after the call began; a lease would not do, since a machine that was suspended does not know how long.
 func (c *Controller) leaderConfig(ctx context.Context) (*wire.Config, journaler.Members, error) {
+	if _, err := c.command(ctx, readCommand()); err != nil {
+		return nil, nil, err
+	}
 	var config *wire.Config
 	var members journaler.Members
-	var leader string
-	err := c.ask(ctx, func(now time.Time) {
-		leader = c.machine.Leader()
-		if c.machine.LeaseHolds(now) {
-			config = c.state.Catalog.Config()
-			members = c.machine.Members()
-		}
+	err := c.ask(ctx, func(time.Time) {
+		config = c.state.Catalog.Config()
+		members = c.machine.Members()
 	})
-	if err != nil {
-		return nil, nil, err
-	}
-	if config == nil {
-		return nil, nil, &journaler.NotLeaderError{
-			Leader: leader,
-		}
-	}
-	return config, members, nil
+	return config, members, err
 }
 
 // command commits a command to the journal and returns what it came to.
