--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -33,81 +33,6 @@
 	Platform *PlatformControl `json:"platform,omitempty"`
 }
 
-// Formation is how control instances find each other.
-type Formation struct {
-	// Seeds name hosts with a control instance as host:port; the port is another interface's, only the hosts count.
-	Seeds []string `json:"seeds"`
-	// FirstStart says that the whole system starts for the first time, with empty disks.
-	FirstStart bool `json:"first-start"`
-}
-
-// PlatformControl is what a control instance serves to a platform.
-type PlatformControl struct {
-	Listen        string `json:"listen"`
-	ListenMetrics string `json:"listen-metrics"`
-}
-
-// Forms reports whether the instance is one of those that form the first membership.
-func (c *Control) Forms() bool {
-	if c.Formation == nil || !c.Formation.FirstStart {
-		return false
-	}
-	return slices.Contains(c.seedAddresses(), c.Listen)
-}
-
-// Waits reports whether the instance waits for a disk that refuses it.
-func (c *Control) Waits() bool { return c.Formation != nil }
-
-// Founders returns the first membership, which is the same at all seeds.
-func (c *Control) Founders() []*wire.ControlMember {
-	var members []*wire.ControlMember
-	for _, address := range c.seedAddresses() {
-		members = append(members, &wire.ControlMember{
-			Id:      address,
-			Address: address,
-		})
-	}
-	return members
-}
-
-// Advertised returns where the other control instances reach this one.
-func (c *Control) Advertised() string {
-	for _, member := range c.Members {
-		if member.ID == c.Instance {
-			return member.Address
-		}
-	}
-	return c.Listen
-}
-
-// Others returns where the settings say that control instances are.
-func (c *Control) Others() []string {
-	list := c.seedAddresses()
-	for _, member := range c.Members {
-		list = append(list, member.Address)
-	}
-	return list
-}
-
-// seedAddresses returns the seeds at the port that control instances use among themselves.
-func (c *Control) seedAddresses() []string {
-	if c.Formation == nil {
-		return nil
-	}
-	return SameHosts(c.Formation.Seeds, c.Listen)
-}
-
-// SameHosts returns the hosts of addresses with the port of another one.
-func SameHosts(addresses []string, port string) []string {
-	_, number, _ := net.SplitHostPort(port)
-	var list []string
-	for _, address := range addresses {
-		host, _, _ := net.SplitHostPort(address)
-		list = append(list, net.JoinHostPort(host, number))
-	}
-	return list
-}
-
 // WireMembers returns the first membership as the journal holds it.
 func (c *Control) WireMembers() []*wire.ControlMember {
 	members := make([]*wire.ControlMember, 0, len(c.Members))
@@ -135,31 +60,6 @@
 	LogLevel        string `json:"log-level"`
 }
 
-// Forwarder is the settings of an entry instance that forwards to replicas which control instances have enrolled.
-type Forwarder struct {
-	Instance        string `json:"instance"`
-	Zone            string `json:"zone"`
-	ListenCallers   string `json:"listen-callers"`
-	ListenReadiness string `json:"listen-readiness"`
-	ListenMetrics   string `json:"listen-metrics"`
-	// ListenPeers is where entry instances of other availability zones have attempts carried to replicas of this one; empty for not at all.
-	ListenPeers string `json:"listen-peers,omitempty"`
-	// ControlSeeds name hosts with a control instance as host:port; the port is another interface's, only the hosts count.
-	ControlSeeds []string `json:"control-seeds"`
-	// ControlPeers is any host with the port at which control instances serve entry instances.
-	ControlPeers string `json:"control-peers"`
-	// RepeatRatio, RepeatBurst and RepeatWindowMs bound the repeats to a service by all instances together.
-	RepeatRatio    float64 `json:"repeat-ratio"`
-	RepeatBurst    float64 `json:"repeat-burst"`
-	RepeatWindowMs int64   `json:"repeat-window-ms"`
-	// CallerAllowanceMs is the time that a request and its answer take on the way between the caller and here.
-	CallerAllowanceMs int64 `json:"caller-allowance-ms"`
-	// DrainMs is how long callers are still served after the instance was told to end, and GraceMs when it must have ended.
-	DrainMs  int64  `json:"drain-ms"`
-	GraceMs  int64  `json:"grace-ms"`
-	LogLevel string `json:"log-level"`
-}
-
 // Shard is one shard of a stand-in's index.
 type Shard struct {
 	Shard  string `json:"shard"`
@@ -220,48 +120,6 @@
 	return read(path, settings, checkEntry)
 }
 
-const (
-	defaultRepeatRatio       = 0.05
-	defaultRepeatBurst       = 20
-	defaultRepeatWindowMs    = 10_000
-	defaultCallerAllowanceMs = 14
-	defaultDrainMs           = 3_000
-	defaultGraceMs           = 6_000
-)
-
-// ReadForwarder reads and checks the settings of an entry instance that forwards; mistakes come as a MistakesError.
-func ReadForwarder(path string) (*Forwarder, error) {
-	settings := &Forwarder{
-		RepeatRatio:       defaultRepeatRatio,
-		RepeatBurst:       defaultRepeatBurst,
-		RepeatWindowMs:    defaultRepeatWindowMs,
-		CallerAllowanceMs: defaultCallerAllowanceMs,
-		DrainMs:           defaultDrainMs,
-		GraceMs:           defaultGraceMs,
-		LogLevel:          defaultLogLevel,
-	}
-	return read(path, settings, checkForwarder)
-}
-
-func checkForwarder(w *walker, s *Forwarder) {
-	w.needText("instance", s.Instance)
-	w.needText("zone", s.Zone)
-	w.needAddress("listen-callers", s.ListenCallers)
-	w.needAddress("listen-readiness", s.ListenReadiness)
-	w.needAddress("listen-metrics", s.ListenMetrics)
-	w.need("listen-peers", s.ListenPeers == "" || isAddress(s.ListenPeers), allowedAddress)
-	w.need("control-seeds", len(s.ControlSeeds) > 0, "at least one address")
-	w.needAddresses("control-seeds", s.ControlSeeds)
-	w.needAddress("control-peers", s.ControlPeers)
-	w.need("repeat-ratio", s.RepeatRatio >= 0, "0 or more")
-	w.need("repeat-burst", s.RepeatBurst >= 0, "0 or more")
-	w.need("repeat-window-ms", s.RepeatWindowMs > 0, "above 0")
-	w.need("caller-allowance-ms", s.CallerAllowanceMs >= 0, "0 or more")
-	w.need("drain-ms", s.DrainMs >= 0, "0 or more")
-	w.need("grace-ms", s.GraceMs > s.DrainMs, "above drain-ms")
-	w.needLogLevel(s.LogLevel)
-}
-
 // ReadStandin reads and checks the settings of a stand-in; mistakes come as a MistakesError.
 func ReadStandin(path string) (*Standin, error) {
 	settings := &Standin{
