--- a/internal/protocol/checker/forwarder.go
+++ b/internal/protocol/checker/forwarder.go
@@ -19,7 +19,7 @@
 	RepeatWindowMs int64   `json:"repeat-window-ms"`
 	// CallerAllowanceMs is the time that a request and its answer take on the way between the caller and here.
 	CallerAllowanceMs int64 `json:"caller-allowance-ms"`
-	// DrainMs is how long callers are still served after the instance was told to end, and GraceMs when it must have ended.
+	// DrainMs is how long callers are still served after the instance was told to end, 0 for half of the grace, and GraceMs when it must have ended.
 	DrainMs  int64  `json:"drain-ms"`
 	GraceMs  int64  `json:"grace-ms"`
 	LogLevel string `json:"log-level"`
@@ -30,7 +30,6 @@
 	defaultRepeatBurst       = 20
 	defaultRepeatWindowMs    = 10_000
 	defaultCallerAllowanceMs = 14
-	defaultDrainMs           = 3_000
 	defaultGraceMs           = 6_000
 )
 
@@ -41,7 +40,6 @@
 		RepeatBurst:       defaultRepeatBurst,
 		RepeatWindowMs:    defaultRepeatWindowMs,
 		CallerAllowanceMs: defaultCallerAllowanceMs,
-		DrainMs:           defaultDrainMs,
 		GraceMs:           defaultGraceMs,
 		LogLevel:          defaultLogLevel,
 	}
--- a/internal/transport/forwarder/callers.go
+++ b/internal/transport/forwarder/callers.go
@@ -13,8 +13,8 @@
 	// headerTimeout and idleTimeout lie above what callers are allowed, so that no caller within its limits is cut off.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
-	// mostHeader bounds a request's head, in bytes; net/http adds some for the first line.
-	mostHeader = 16 << 10
+	// mostHeader bounds a request's head before any configuration is known, in bytes; the configuration's own limit is held by the platform's adapter.
+	mostHeader = 64 << 10
 )
 
 // callerServer is the HTTP server for callers.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -164,7 +164,7 @@
 func (f *Forwarder) Shutdown(ctx context.Context) {
 	f.log.Info("stopping")
 	f.stopping.Store(true)
-	f.callers.shutdown(ctx, time.Duration(f.current().DrainMs)*time.Millisecond)
+	f.callers.shutdown(ctx, f.drain())
 	close(f.stop)
 	f.directory.close()
 	f.relays.close()
@@ -176,6 +176,15 @@
 	f.log.Info("stopped")
 }
 
+// drain returns how long callers are still served after the instance was told to end.
+func (f *Forwarder) drain() time.Duration {
+	settings := f.current()
+	if settings.DrainMs > 0 {
+		return time.Duration(settings.DrainMs) * time.Millisecond
+	}
+	return time.Duration(settings.GraceMs) * time.Millisecond / 2
+}
+
 const (
 	// assumedSharers is how many entry instances are assumed to share limits while control has not told.
 	assumedSharers = 12
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -25,6 +25,9 @@
 // apiDrain bounds the wait for calls of operators and replicas when a control instance is told to end.
 const apiDrain = 2 * time.Second
 
+// endMargin is how long before its grace is over an entry instance cuts off what is still in flight, so as to end by itself.
+const endMargin = 300 * time.Millisecond
+
 // Platform is the adapter to the platform on which the instances run.
 type Platform struct {
 	Forwarding forwarder.Protocol
@@ -91,7 +94,7 @@
 	w := newWatcher(path, checker.ReadForwarder, f.Reload, log)
 	WaitForSignal(nil)
 	w.close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(settings.GraceMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(settings.GraceMs)*time.Millisecond-endMargin)
 	defer cancel()
 	f.Shutdown(ctx)
 	return nil
