Group carried attempts by deadline

Open: a query that lacks its least share a fifth of its target late fails, where a further replica or the budget is missing.

--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -82,23 +82,33 @@
 	r.relayer.Update(list)
 }
 
+// groupKey is what the attempts of one call to a peer have in common.
+type groupKey struct {
+	zone     string
+	deadline time.Time
+}
+
 // divide takes out of the sends those that peers are to carry, and returns the rest; the mutex is held.
 func (r *run) divide(now time.Time, sends []*scatterer.Attempt) []*scatterer.Attempt {
 	f := r.forwarder
 	if !r.request.Route.IsGathered() || f.settings.ListenPeers == "" {
 		return sends
 	}
-	byZone := map[string][]*scatterer.Attempt{}
+	groups := map[groupKey][]*scatterer.Attempt{}
 	var direct []*scatterer.Attempt
 	for _, a := range sends {
-		if zone := a.Replica.Zone; zone != f.settings.Zone && a.Kind == scatterer.AttemptFirst {
-			byZone[zone] = append(byZone[zone], a)
+		key := groupKey{
+			zone:     a.Replica.Zone,
+			deadline: a.Deadline,
+		}
+		if key.zone != f.settings.Zone && a.Kind == scatterer.AttemptFirst {
+			groups[key] = append(groups[key], a)
 		} else {
 			direct = append(direct, a)
 		}
 	}
-	for zone, group := range byZone {
-		peer := f.relays.relayer.Choose(now, zone)
+	for key, group := range groups {
+		peer := f.relays.relayer.Choose(now, key.zone)
 		if peer == nil || len(group) < leastRelayed {
 			direct = append(direct, group...)
 			continue
