--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -58,18 +58,13 @@
 	mean     time.Duration
 }
 
-type speed struct {
-	hedge *router.Quantile
-	tail  *router.Quantile
-}
-
 // Balancer keeps what this instance has seen of all replicas; it is not safe for concurrent use.
 type Balancer struct {
 	zone     string
 	random   *rand.Rand
 	services map[string]*service
 	byID     map[string]*State
-	speeds   map[string]*speed
+	speeds   map[string]*router.Quantile
 }
 
 // New returns a balancer of an instance in the availability zone that knows no replica.
@@ -79,7 +74,7 @@
 		random:   random,
 		services: map[string]*service{},
 		byID:     map[string]*State{},
-		speeds:   map[string]*speed{},
+		speeds:   map[string]*router.Quantile{},
 	}
 }
 
@@ -220,9 +215,7 @@
 	if s := b.services[r.Service]; s != nil {
 		s.mean = moved(s.mean, took)
 	}
-	sp := b.speed(class)
-	sp.hedge.Observe(took)
-	sp.tail.Observe(took)
+	b.speed(class).Observe(took)
 }
 
 // Outrun notes that the replica had not answered after the time, which says no more than that it takes longer.
@@ -241,12 +234,9 @@
 
 // HedgeDelay returns how long an attempt of the class may take before it counts as a straggler.
 func (b *Balancer) HedgeDelay(class string) time.Duration {
-	return b.speed(class).hedge.Value()
+	return b.speed(class).Value()
 }
 
-// Tail returns the time within which nearly all attempts of the class are answered.
-func (b *Balancer) Tail(class string) time.Duration { return b.speed(class).tail.Value() }
-
 func (b *Balancer) service(name string) *service {
 	known, ok := b.services[name]
 	if !ok {
@@ -256,24 +246,19 @@
 	return known
 }
 
-func (b *Balancer) speed(class string) *speed {
+// hedgeShare of the attempts are answered before one counts as a straggler: what is left fits the usual ratio of repeats twice over.
+const hedgeShare = 0.9
+
+// speed follows the time within which hedgeShare of the class's attempts are answered.
+func (b *Balancer) speed(class string) *router.Quantile {
 	known, ok := b.speeds[class]
 	if !ok {
-		known = &speed{
-			hedge: router.NewQuantile(hedgeShare),
-			tail:  router.NewQuantile(tailShare),
-		}
+		known = router.NewQuantile(hedgeShare)
 		b.speeds[class] = known
 	}
 	return known
 }
 
-const (
-	// hedgeShare of the attempts are answered before one counts as a straggler: what is left fits the usual ratio of repeats twice over.
-	hedgeShare = 0.9
-	tailShare  = 0.98
-)
-
 func moved(average, seen time.Duration) time.Duration {
 	if average == 0 {
 		return seen
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
@@ -267,6 +266,3 @@
 		})
 	}
 }
-
-// Route returns the route that the request takes.
-func (j *Job) Route() *matcher.Route { return j.request.Route }
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -27,7 +27,7 @@
 	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	r.begin(request)
+	r.begin()
 	linger := loserLinger
 	select {
 	case <-r.decided:
@@ -52,16 +52,18 @@
 	relayed   []*relayRun
 }
 
-func (r *run) begin(request scatterer.Request) {
+// begin asks the first replicas.
+func (r *run) begin() {
 	f := r.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
-	r.job = scatterer.New(request, f.policies)
+	r.job = scatterer.New(r.request, f.policies)
 	r.timer = time.AfterFunc(time.Hour, r.tick)
 	r.goOn(now, r.job.Start(now))
 }
 
+// tick takes what time decides.
 func (r *run) tick() {
 	f := r.forwarder
 	f.mutex.Lock()
