--- a/internal/coordination/gatherer/machine_test.go
+++ b/internal/coordination/gatherer/machine_test.go
@@ -225,6 +225,26 @@
 	return query
 }
 
+// TestForeignReplyIsNoAnswer holds that a whole reply of the right shard and version, but to another attempt, is not taken: its rows are another query's.
+func TestForeignReplyIsNoAnswer(t *testing.T) {
+	d := newDriver(t, router.TwoChoices)
+	pair(d)
+	query := d.ask("q", second)
+	first := d.take(0)
+	d.reply(first, func(r *wire.SearchResponse) {
+		r.Attempt = first.Request.GetAttempt() + 1000
+		r.Rows = driverRows(1, driverShard(0), "other")
+		r.RowCount = uint32(len(r.GetRows()))
+	})
+	again := d.take(0)
+	if again.Upstream == first.Upstream {
+		t.Errorf("the shard is asked again from %s", again.Upstream)
+	}
+	d.reply(again)
+	d.replyAll()
+	d.check(d.answer(query))
+}
+
 // TestGivenUpAtOnce shows that a shard without hope doesn't hold the answer back.
 func TestGivenUpAtOnce(t *testing.T) {
 	d := newDriver(t, router.TwoChoices)
