Hedge only once most shards have answered

Change: a shard is hedged once 0.6 of the shards have answered; before that it is not late by comparison. The rest leaves room for a lost availability zone.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -20,6 +20,8 @@
 	earliestHedge = 3 * time.Millisecond
 	// hedgeAbove is the share of a service's load below which stragglers are not hedged; a pause of one replica alone stays above.
 	hedgeAbove = 0.97
+	// stragglersAfter is the share of the shards that have answered before the others are hedged; it leaves room for a lost availability zone of four, and some pauses.
+	stragglersAfter = 0.6
 	// lateShare of the target latency is what a part may come late by, for answers that still lack some.
 	lateShare = 0.2
 	// unknownHedge of the target latency is waited while no latency was observed.
--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -365,3 +365,31 @@
 	}
 	return count
 }
+
+// TestColdStart plays a query of many shards on an instance that opens all of its connections anew: no shard is hedged before most have answered, and then only those that are late.
+func TestColdStart(t *testing.T) {
+	const shards = 90
+	route := gathered(shards, 0.9)
+	p := newPolicies(1000, route.Shards...)
+	j := newJob(route, p)
+	sends := j.Start(start)
+	if len(sends) != shards {
+		t.Fatalf("%d sends", len(sends))
+	}
+	at := start
+	for range 6 {
+		at = at.Add(10 * time.Millisecond)
+		if hedges := j.Tick(at); len(hedges) > 0 {
+			t.Fatalf("%d hedges after %s with no answer", len(hedges), at.Sub(start))
+		}
+	}
+	for _, a := range sends[:60] {
+		if hedges := j.Ended(at, a, replied(200)); len(hedges) > 0 {
+			t.Fatalf("an answer made %d sends", len(hedges))
+		}
+	}
+	at = at.Add(tryAgain)
+	if hedges := j.Tick(at); len(hedges) != shards-60 {
+		t.Errorf("%d hedges once most have answered, want %d", len(hedges), shards-60)
+	}
+}
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -35,7 +35,7 @@
 func (j *Job) hedge(now time.Time, i int, s *shard) []*Attempt {
 	slow := s.pending[0]
 	slow.hedgeAt = now.Add(tryAgain)
-	if !j.mayHedge(s) || j.isCongested(now, s) {
+	if !j.mayHedge(s) || j.isCongested(now, s) || !j.hasStragglers() {
 		return nil
 	}
 	a := j.place(now, i, s, AttemptHedge)
@@ -52,6 +52,11 @@
 	return j.request.Route.IsGathered() && j.policies.Shedder.Share(now, j.load(s.service)) < hedgeAbove
 }
 
+// hasStragglers reports whether so many shards have answered that the others are late by comparison. Where most are out, as on an instance that has just started and opens every connection anew, the time goes elsewhere, and hedges would only add to it.
+func (j *Job) hasStragglers() bool {
+	return !j.request.Route.IsGathered() || float64(j.in()) >= stragglersAfter*float64(len(j.shards))
+}
+
 // place chooses a replica and takes what the attempt costs from the budget; nil where there is no replica, or no budget, which sets retryAt.
 func (j *Job) place(now time.Time, i int, s *shard, kind AttemptKind) *Attempt {
 	replica := j.policies.Balancer.Pick(now, s.service, func(r *balancer.State) bool {
