Carry hedges by peers where a replica's connections do not reach

Change: limiter.Divide gives connections to those of the replica's own availability zone where there are too many entry instances for two each; hedges and retries to other zones then go through peers, another than the one that has not answered.

--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -76,14 +76,21 @@
 
 func (r *Relayer) rank(p *Peer) uint64 { return xxhash.Sum64String(r.self + " " + p.Instance) }
 
-// Choose returns the peer of the availability zone to use, or nil where none is sound.
-func (r *Relayer) Choose(now time.Time, zone string) *Peer {
+// Choose returns the peer of the availability zone to use, or nil where none is sound; those to avoid are taken only where there is no other.
+func (r *Relayer) Choose(now time.Time, zone string, avoid []*Peer) *Peer {
+	var second *Peer
 	for _, p := range r.peers {
-		if p.Zone == zone && p.isSound(now) {
+		if p.Zone != zone || !p.isSound(now) {
+			continue
+		}
+		if !slices.Contains(avoid, p) {
 			return p
 		}
+		if second == nil {
+			second = p
+		}
 	}
-	return nil
+	return second
 }
 
 func (p *Peer) isSound(now time.Time) bool {
--- a/internal/coordination/relayer/relayer_test.go
+++ b/internal/coordination/relayer/relayer_test.go
@@ -21,12 +21,12 @@
 
 func TestChoose(t *testing.T) {
 	r := newRelayer()
-	first := r.Choose(start, "b")
+	first := r.Choose(start, "b", nil)
 	if first == nil || first.Instance == "entry-1" {
 		t.Fatalf("chose %+v", first)
 	}
 	for _, zone := range []string{"a", "c", "d"} {
-		if p := r.Choose(start, zone); p != nil {
+		if p := r.Choose(start, zone, nil); p != nil {
 			t.Errorf("chose %+v of zone %s", p, zone)
 		}
 	}
@@ -53,7 +53,7 @@
 	}
 	for _, c := range cases {
 		c.play()
-		if got := r.Choose(start.Add(c.at), "b"); got == nil || (got == first) != c.same {
+		if got := r.Choose(start.Add(c.at), "b", nil); got == nil || (got == first) != c.same {
 			t.Errorf("%s: chose %+v", c.name, got)
 		}
 	}
@@ -62,11 +62,11 @@
 func TestEndedCalls(t *testing.T) {
 	for _, after := range []time.Duration{silentAfter / 2, 2 * silentAfter} {
 		r := newRelayer()
-		first := r.Choose(start, "b")
+		first := r.Choose(start, "b", nil)
 		r.Began(start, first)
 		now := start.Add(after)
 		r.Ended(now, first, start)
-		if passed := r.Choose(now, "b") != first; passed != (after > silentAfter) {
+		if passed := r.Choose(now, "b", nil) != first; passed != (after > silentAfter) {
 			t.Errorf("passed over after a call that was ended here after %s: %v", after, passed)
 		}
 	}
@@ -74,14 +74,27 @@
 
 func TestUpdateKeepsWhatIsKnown(t *testing.T) {
 	r := newRelayer()
-	first := r.Choose(start, "b")
+	first := r.Choose(start, "b", nil)
 	r.Failed(start, first, start)
 	r.Update([]Peer{{Instance: first.Instance, Zone: "b", Address: first.Address}})
-	if p := r.Choose(start, "b"); p != nil {
+	if p := r.Choose(start, "b", nil); p != nil {
 		t.Errorf("chose %+v, which has just failed", p)
 	}
 	r.Update([]Peer{{Instance: first.Instance, Zone: "b", Address: "elsewhere"}})
-	if r.Choose(start, "b") == nil {
+	if r.Choose(start, "b", nil) == nil {
 		t.Error("an instance that was started anew elsewhere counts as failed")
 	}
 }
+
+// TestAvoid holds that a peer from which a request has heard nothing is left for another, and used where it is the only one.
+func TestAvoid(t *testing.T) {
+	r := newRelayer()
+	first := r.Choose(start, "b", nil)
+	second := r.Choose(start, "b", []*Peer{first})
+	if second == nil || second == first {
+		t.Errorf("chose %+v beside %+v", second, first)
+	}
+	if p := r.Choose(start, "b", []*Peer{first, second}); p != first {
+		t.Errorf("chose %+v where there is no other than those to avoid", p)
+	}
+}
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -26,6 +26,8 @@
 	Replica string
 	Service string
 	Address string
+	// Zone is the replica's availability zone.
+	Zone string
 }
 
 // Call is what is sent, the same at each attempt.
@@ -55,8 +57,8 @@
 	pools *pools
 }
 
-// New returns an exchanger without connections; limit is how many it may have to each replica of a service, and opened is told of each new one.
-func New(codec Codec, limit func(service string) int, opened func()) *Exchanger {
+// New returns an exchanger without connections; limit is how many it may have to a replica, and opened is told of each new one.
+func New(codec Codec, limit func(Target) int, opened func()) *Exchanger {
 	return &Exchanger{
 		codec: codec,
 		pools: &pools{
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -150,7 +150,7 @@
 }
 
 func newExchanger(limit int) *Exchanger {
-	return New(testCodec{}, func(string) int { return limit }, func() {})
+	return New(testCodec{}, func(Target) int { return limit }, func() {})
 }
 
 func (f *fakeReplica) ask(e *Exchanger, id string, body int, once bool, limit time.Duration) scatterer.Outcome {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -27,7 +27,7 @@
 type pools struct {
 	mutex  sync.Mutex
 	byID   map[string]*pool
-	limit  func(service string) int
+	limit  func(Target) int
 	dialer net.Dialer
 	opened func()
 }
@@ -65,7 +65,7 @@
 		known.open--
 		_ = conn.Close()
 	}
-	if known.open < p.limit(target.Service) {
+	if known.open < p.limit(target) {
 		known.open++
 		return known, nil, nil
 	}
@@ -113,7 +113,7 @@
 		_ = conn.Close()
 		return
 	}
-	if !keep || known.open > p.limit(target.Service) {
+	if !keep || known.open > p.limit(target) {
 		known.open--
 		_ = conn.Close()
 	} else {
--- a/internal/transport/forwarder/carrier.go
+++ b/internal/transport/forwarder/carrier.go
@@ -157,5 +157,6 @@
 		Replica: known.ID,
 		Service: known.Service,
 		Address: known.Address,
+		Zone:    known.Zone,
 	}, true
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 // Forwarder is one running entry instance.
 type Forwarder struct {
 	settings  *checker.Forwarder
+	zone      string
 	log       logr.Logger
 	protocol  Protocol
 	exchanger *exchanger.Exchanger
@@ -69,6 +70,7 @@
 	f := &Forwarder{
 		droppedLines: droppedLines,
 		settings:     settings,
+		zone:         settings.Zone,
 		log:          log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
 		protocol:     protocol,
 		balancer:     balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -196,15 +198,25 @@
 	defaultConnections = 8
 )
 
-// connectionShare returns how many connections this instance may have to each replica of the service.
-func (f *Forwarder) connectionShare(service string) int {
+// connectionShare returns how many connections this instance may have to the replica.
+func (f *Forwarder) connectionShare(target exchanger.Target) int {
+	reach := f.reach(target.Service)
+	if target.Zone == f.zone {
+		return reach.Near
+	}
+	// Where no peer is sound, one attempt at a time goes directly all the same.
+	return max(1, reach.Far)
+}
+
+// reach returns how this instance gets to the replicas of the service.
+func (f *Forwarder) reach(service string) limiter.Reach {
 	limit := defaultConnections
 	if book := f.book.Load(); book != nil {
 		if known := book.FindService(service); known != nil && known.Connections > 0 {
 			limit = known.Connections
 		}
 	}
-	return max(1, int(connectionsKept*float64(limit))/int(f.directory.followers.Load()))
+	return limiter.Divide(int(connectionsKept*float64(limit)), int(f.directory.followers.Load()), int(f.relays.neighbours.Load()))
 }
 
 // window returns the budget of repeats of the service; the mutex is held.
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -5,10 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -32,16 +35,22 @@
 type relays struct {
 	forwarder *Forwarder
 	relayer   *relayer.Relayer
-	client    *http.Client
-	server    *listener.Server
+	// neighbours is how many entry instances the own availability zone has, this one included.
+	neighbours atomic.Int64
+	counter    *limiter.Sharers
+	client     *http.Client
+	server     *listener.Server
 }
 
 func newRelays(f *Forwarder) *relays {
-	return &relays{
+	r := &relays{
 		forwarder: f,
 		relayer:   relayer.New(f.settings.Instance, f.settings.Zone),
+		counter:   limiter.NewSharers(assumedSharers),
 		client:    listener.NewClient(),
 	}
+	r.neighbours.Store(assumedSharers)
+	return r
 }
 
 // listen serves peers, where the settings name an address for them.
@@ -69,13 +78,18 @@
 // update takes the entry instances that follow control.
 func (r *relays) update(entries []*wire.EntryInstance) {
 	var list []relayer.Peer
+	neighbours := 0
 	for _, entry := range entries {
+		if entry.GetZone() == r.forwarder.zone {
+			neighbours++
+		}
 		list = append(list, relayer.Peer{
 			Instance: entry.GetInstance(),
 			Zone:     entry.GetZone(),
 			Address:  entry.GetAddress(),
 		})
 	}
+	r.neighbours.Store(int64(r.counter.Hear(time.Now(), neighbours)))
 	f := r.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -86,6 +100,8 @@
 type groupKey struct {
 	zone     string
 	deadline time.Time
+	// first says that they are first attempts.
+	first bool
 }
 
 // divide takes out of the sends those that peers are to carry, and returns the rest; the mutex is held.
@@ -100,16 +116,17 @@
 		key := groupKey{
 			zone:     a.Replica.Zone,
 			deadline: a.Deadline,
+			first:    a.Kind == scatterer.AttemptFirst,
 		}
-		if key.zone != f.settings.Zone && a.Kind == scatterer.AttemptFirst {
+		if key.zone != f.zone && (key.first || f.reach(a.Service).Far == 0) {
 			groups[key] = append(groups[key], a)
 		} else {
 			direct = append(direct, a)
 		}
 	}
 	for key, group := range groups {
-		peer := f.relays.relayer.Choose(now, key.zone)
-		if peer == nil || len(group) < leastRelayed {
+		peer := f.relays.relayer.Choose(now, key.zone, r.passedOver())
+		if peer == nil || r.isUnsentBy(peer) || len(group) < leastRelayed && f.reach(group[0].Service).Far > 0 {
 			direct = append(direct, group...)
 			continue
 		}
@@ -118,6 +135,22 @@
 	return direct
 }
 
+// passedOver returns the peers that have not answered for any attempt of this request yet, or have not sent one, so that its repeats go through others.
+func (r *run) passedOver() []*relayer.Peer {
+	var list []*relayer.Peer
+	for _, g := range r.relayed {
+		if !g.heard || g.unsent {
+			list = append(list, g.peer)
+		}
+	}
+	return list
+}
+
+// isUnsentBy reports whether the peer has not sent an attempt of this request that it was to carry.
+func (r *run) isUnsentBy(peer *relayer.Peer) bool {
+	return slices.ContainsFunc(r.relayed, func(g *relayRun) bool { return g.peer == peer && g.unsent })
+}
+
 // relay has a peer carry a group of attempts; the mutex is held.
 func (r *run) relay(now time.Time, peer *relayer.Peer, group []*scatterer.Attempt) {
 	ctx, cancel := context.WithDeadline(context.Background(), group[0].Deadline.Add(relaySlack))
@@ -136,13 +169,15 @@
 
 // relayRun is one call to a peer under way.
 type relayRun struct {
-	owner   *run
-	peer    *relayer.Peer
-	began   time.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
-	heard   bool
-	given   bool
+	owner  *run
+	peer   *relayer.Peer
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	heard  bool
+	given  bool
+	// unsent says that the peer did not send an attempt, as one that does not know its replica.
+	unsent  bool
 	pending []*scatterer.Attempt
 }
 
@@ -210,7 +245,9 @@
 		}
 		a := g.pending[number]
 		g.pending[number] = nil
-		g.owner.ended(a, relayedOutcome(part))
+		outcome := relayedOutcome(part)
+		g.unsent = g.unsent || outcome.Cause == scatterer.CausePeer
+		g.owner.ended(a, outcome)
 	}
 }
 
@@ -225,6 +262,7 @@
 	}
 	if isUnsent(err) {
 		outcome.Kind = scatterer.OutcomeUnsent
+		g.unsent = true
 	}
 	switch {
 	case g.heard:
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -189,7 +189,7 @@
 func (p *relayPath) isPassed() bool {
 	p.near.mutex.Lock()
 	defer p.near.mutex.Unlock()
-	return p.near.relays.relayer.Choose(time.Now(), "b") == nil
+	return p.near.relays.relayer.Choose(time.Now(), "b", nil) == nil
 }
 
 // TestRelayed holds that a peer carries the attempts to its zone, and sends back just the records that may be of use.
@@ -294,3 +294,32 @@
 		t.Error("not let go")
 	}
 }
+
+// TestBeyondReach holds that an instance which may have no connections to replicas of another availability zone has its hedges carried too, and by another peer than the one that has not answered.
+func TestBeyondReach(t *testing.T) {
+	p := newRelayPath(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	p.near.relays.update([]*wire.EntryInstance{
+		{
+			Instance: "mute",
+			Zone:     "b",
+			Address:  silent.Addr().String(),
+		},
+		{
+			Instance: "far",
+			Zone:     "b",
+			Address:  p.far.relays.server.Address(),
+		},
+	})
+	// The peer that is preferred may be either.
+	for range 3 {
+		p.checkWhole(t)
+	}
+	if got := p.near.exchanger.Open(); got != 0 {
+		t.Errorf("%d connections from here", got)
+	}
+}
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -192,6 +192,7 @@
 		Replica: a.attempt.Replica.ID,
 		Service: a.attempt.Service,
 		Address: a.attempt.Replica.Address,
+		Zone:    a.attempt.Replica.Zone,
 	}
 	outcome := f.exchanger.Do(a.exchange, r.call, target, a.attempt.Deadline)
 	f.mutex.Lock()
