Cover the requests of a platform's machines in the report

Cause: `pimentogate report` held what the gateway answers only; and the archive behind it created a file at the start, so that a control instance whose disk takes no bytes ended with an error there, and after one failed rotation refused every record until a restart. Change: depositor, taken out of the gateway, hands records over for both kinds of entry instance, bounded in memory and in bytes a second; the archive creates its files when there is something to write, and removes one in which nothing was stored. Log lines name states in kebab case; metrics of attempts in flight and of replicas whose slots are full.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -125,6 +125,17 @@
 	return len(s.replicas)
 }
 
+// Busy returns how many attempts are in flight, and how many replicas have all of their slots taken by them.
+func (b *Balancer) Busy() (attempts, full int) {
+	for _, r := range b.byID {
+		attempts += r.InFlight()
+		if !r.HasFreeSlot() {
+			full++
+		}
+	}
+	return attempts, full
+}
+
 // Pick returns the replica that is expected to answer first of those that accept holds for, or nil.
 func (b *Balancer) Pick(now time.Time, name string, accept func(*State) bool) *State {
 	s := b.services[name]
--- a/internal/coordination/subscriber/subscriber.go
+++ b/internal/coordination/subscriber/subscriber.go
@@ -179,6 +179,14 @@
 	}
 }
 
+// Primary returns the address of the one that brings the news, or nothing.
+func (s *Subscriber) Primary() string {
+	if s.primary == nil {
+		return ""
+	}
+	return s.primary.Address
+}
+
 // Contact returns how many control instances answer.
 func (s *Subscriber) Contact() advertiser.Contact {
 	c := advertiser.Contact{
--- a/internal/transport/archiver/archiver.go
+++ b/internal/transport/archiver/archiver.go
@@ -38,21 +38,19 @@
 	limit   int64
 	closed  []segment
 	current segment
-	file    *os.File
-	number  int
-	intake  *recorder.Intake
+	// file is the current segment's, or nil until there is something to write, and after a write failed.
+	file   *os.File
+	number int
+	intake *recorder.Intake
 }
 
-// Open reads what the data folder holds, and goes on in a new file; limit bounds all files together, in bytes.
+// Open reads what the data folder holds; it writes nothing, so that a disk that takes no more bytes does not keep an instance from starting. Limit bounds all files together, in bytes.
 func Open(dataFolder string, limit int64) (*Archiver, error) {
 	a := &Archiver{
 		folder: filepath.Join(dataFolder, folderName),
 		limit:  limit,
 		intake: recorder.NewIntake(),
 	}
-	if err := os.MkdirAll(a.folder, folderMode); err != nil {
-		return nil, fmt.Errorf("outcomes: %w", err)
-	}
 	names, err := filepath.Glob(filepath.Join(a.folder, "*.log"))
 	if err != nil {
 		return nil, fmt.Errorf("outcomes: %w", err)
@@ -63,7 +61,7 @@
 			return nil, err
 		}
 	}
-	return a, a.rotate()
+	return a, nil
 }
 
 // load notes what an earlier life stored; a torn tail was never answered for.
@@ -75,9 +73,6 @@
 	if _, err := fmt.Sscanf(filepath.Base(path), "%d.log", &a.number); err != nil {
 		return fmt.Errorf("outcomes: %s: %w", path, err)
 	}
-	if len(content) == 0 {
-		return os.Remove(path)
-	}
 	each(content, a.intake.Take)
 	a.closed = append(a.closed, segment{
 		path: path,
@@ -110,29 +105,43 @@
 	if err != nil {
 		return err
 	}
-	if a.current.size > 0 && a.current.size+int64(len(frame)) > a.limit/segments {
-		if err := a.rotate(); err != nil {
+	if a.file != nil && a.current.size+int64(len(frame)) > a.limit/segments {
+		if err := a.finish(); err != nil {
+			return err
+		}
+	}
+	if a.file == nil {
+		if err := a.begin(); err != nil {
 			return err
 		}
 	}
-	a.current.size += int64(len(frame))
 	if _, err := a.file.Write(frame); err != nil {
 		// What comes after a torn frame could not be read, so it goes into another file.
-		return errors.Join(fmt.Errorf("write outcomes: %w", err), a.rotate())
+		return errors.Join(fmt.Errorf("write outcomes: %w", err), a.finish())
 	}
 	if err := a.file.Sync(); err != nil {
-		return errors.Join(fmt.Errorf("sync outcomes: %w", err), a.rotate())
+		return errors.Join(fmt.Errorf("sync outcomes: %w", err), a.finish())
 	}
+	a.current.size += int64(len(frame))
 	return nil
 }
 
-// rotate goes on in a new file, and drops the oldest files beyond the bound.
-func (a *Archiver) rotate() error {
-	if a.file != nil {
-		if err := a.file.Close(); err != nil {
-			return fmt.Errorf("close outcomes: %w", err)
-		}
-		a.closed = append(a.closed, a.current)
+// finish ends the current file, so that the next write begins another; one in which nothing was stored is removed.
+func (a *Archiver) finish() error {
+	file := a.file
+	a.file = nil
+	err := file.Close()
+	if a.current.size == 0 {
+		return errors.Join(err, os.Remove(a.current.path))
+	}
+	a.closed = append(a.closed, a.current)
+	return err
+}
+
+// begin drops the oldest files beyond the bound, and goes on in a new one.
+func (a *Archiver) begin() error {
+	if err := os.MkdirAll(a.folder, folderMode); err != nil {
+		return fmt.Errorf("outcomes: %w", err)
 	}
 	if err := a.dropOldest(); err != nil {
 		return err
@@ -146,7 +155,10 @@
 		return fmt.Errorf("outcomes: %w", err)
 	}
 	a.file = file
-	return syncFolder(a.folder)
+	if err := syncFolder(a.folder); err != nil {
+		return errors.Join(err, a.finish())
+	}
+	return nil
 }
 
 // dropOldest keeps room for one more file, and forgets what was in the files that it drops.
@@ -184,7 +196,10 @@
 // Report returns the records that fit, the newest where there are too many.
 func (a *Archiver) Report(ask *wire.ReportRequest) (*wire.ReportResponse, error) {
 	a.mutex.Lock()
-	paths := []string{a.current.path}
+	var paths []string
+	if a.file != nil {
+		paths = append(paths, a.current.path)
+	}
 	for i := len(a.closed) - 1; i >= 0; i-- {
 		paths = append(paths, a.closed[i].path)
 	}
@@ -224,6 +239,9 @@
 func (a *Archiver) Close() error {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if a.file == nil {
+		return nil
+	}
 	if err := a.file.Close(); err != nil {
 		return fmt.Errorf("close outcomes: %w", err)
 	}
--- a/internal/transport/archiver/archiver_test.go
+++ b/internal/transport/archiver/archiver_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// TestDiskRefuses holds that an archive opens on a disk that takes nothing, refuses what it can't store, and goes on in a new file once the disk takes bytes again, with nothing that was stored lost.
+func TestDiskRefuses(t *testing.T) {
+	folder := t.TempDir()
+	// A file in the folder's place stands for a disk on which nothing can be created.
+	blocked := filepath.Join(folder, folderName)
+	if err := os.WriteFile(blocked, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a := open(t, folder)
+	for range 3 {
+		if stored, err := a.Store(batchOf(1, 5)); err == nil {
+			t.Fatalf("stored up to %d on a disk that refuses", stored)
+		}
+	}
+	if err := os.Remove(blocked); err != nil {
+		t.Fatal(err)
+	}
+	store(t, a, 1, 5)
+	for last := uint64(10); last <= 20; last += 5 {
+		// A write to a file that is closed fails as on a full disk.
+		a.file.Close()
+		if stored, err := a.Store(batchOf(last-4, last)); err == nil {
+			t.Fatalf("stored up to %d in a file that refuses", stored)
+		}
+		store(t, a, last-4, last)
+	}
+	if held := len(report(t, open(t, folder), &wire.ReportRequest{}).GetRecords()); held != 20 {
+		t.Errorf("%d records after a restart, want 20", held)
+	}
+}
+
 func TestArchiveIsBounded(t *testing.T) {
 	folder := t.TempDir()
 	a := open(t, folder)
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -179,7 +179,7 @@
 		return applier.Result{}, err
 	})
 	c.log.Info("replica announced", "replica", heard.GetId(), "service", heard.GetService(), "address", heard.GetAddress(),
-		"state", heard.GetState().String(), "born-ms", heard.GetBornMs(), "sequence", heard.GetSequence(), "acknowledged", err == nil)
+		"state", wire.StateName(heard.GetState()), "born-ms", heard.GetBornMs(), "sequence", heard.GetSequence(), "acknowledged", err == nil)
 	return err
 }
 
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -143,6 +143,16 @@
 	return d.subscriber.Next(address)
 }
 
+// newsFrom returns the control instance that brings the news, which takes records too; none while there is none.
+func (d *directory) newsFrom() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if address := d.subscriber.Primary(); address != "" {
+		return []string{address}
+	}
+	return nil
+}
+
 // answered notes that a control instance has answered.
 func (d *directory) answered(address string, confirmed bool) {
 	d.mutex.Lock()
@@ -278,7 +288,7 @@
 	d.records[record.GetId()] = record
 	if d.known {
 		d.forwarder.log.Info("replica changed", "replica", record.GetId(), "service", record.GetService(), "address", record.GetAddress(),
-			"state", record.GetState().String(), "index", record.GetIndex())
+			"state", wire.StateName(record.GetState()), "index", record.GetIndex())
 	}
 	switch record.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_READY, wire.ReplicaState_REPLICA_STATE_LOST:
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/depositor"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 )
@@ -62,6 +63,7 @@
 	relays    *relays
 	gauger    *gauger
 	warmer    *warmer
+	records   *depositor.Depositor
 	stop      chan struct{}
 	done      chan struct{}
 }
@@ -100,6 +102,7 @@
 	f.directory.start()
 	go f.gauger.run()
 	go f.warmer.run()
+	f.records = depositor.New(settings.Instance, recordBounds, listener.NewClient(), f.directory.newsFrom, f.meter.recordsLost, f.log)
 	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
 	return f, nil
 }
@@ -171,6 +174,7 @@
 	f.stopping.Store(true)
 	f.callers.shutdown(ctx, f.drain())
 	close(f.stop)
+	f.records.Close()
 	f.directory.close()
 	f.relays.close()
 	f.gauger.close()
--- a/internal/transport/forwarder/gauger.go
+++ b/internal/transport/forwarder/gauger.go
@@ -61,6 +61,9 @@
 	defer f.mutex.Unlock()
 	m.sharers.Update(float64(f.sharers))
 	m.shed.Update(f.policies.Shedder.Least(now))
+	attempts, full := f.balancer.Busy()
+	m.pending.Update(float64(attempts))
+	m.full.Update(float64(full))
 	m.budget.Update(f.leastBudget(now))
 }
 
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -42,6 +42,7 @@
 
 	connections tally.Counter
 	linesLost   tally.Counter
+	recordsLost tally.Counter
 	logDropped  tally.Gauge
 	denied      tally.Counter
 	inFlight    tally.Gauge
@@ -56,6 +57,8 @@
 	control     tally.Gauge
 	sharers     tally.Gauge
 	carried     tally.Gauge
+	pending     tally.Gauge
+	full        tally.Gauge
 }
 
 func newMeter() *meter {
@@ -70,6 +73,7 @@
 		attempts:    map[attemptKey]tally.Counter{},
 		connections: s.Counter("connections_opened"),
 		linesLost:   s.Counter("request_lines_lost"),
+		recordsLost: s.Counter("outcome_records_lost"),
 		logDropped:  s.Gauge("log_lines_dropped"),
 		denied:      s.Counter("requests_without_route"),
 		inFlight:    s.Gauge("requests_in_flight"),
@@ -84,6 +88,8 @@
 		control:     s.Gauge("control_instances_reached"),
 		sharers:     s.Gauge("entry_instances_sharing"),
 		carried:     s.Gauge("peer_calls_carried"),
+		pending:     s.Gauge("attempts_in_flight"),
+		full:        s.Gauge("replicas_with_full_slots"),
 	}
 }
 
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -142,14 +142,15 @@
 	if d.Reason != scatterer.ReasonAbandoned {
 		f.advertiser.Observe(now, d.Kind == scatterer.Relayed || d.Kind == scatterer.Gathered)
 	}
-	if !isWanted(r.call, &d) {
-		return
-	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.outcome == outcomePending {
 			a.took = now.Sub(a.attempt.Began)
 		}
 	}
+	f.records.Note(recordOf(r, &d, took))
+	if !isWanted(r.call, &d) {
+		return
+	}
 	f.notes.add(requestNote{
 		call:     r.call,
 		request:  r.request,
--- a/internal/transport/gateway/control.go
+++ b/internal/transport/gateway/control.go
@@ -46,6 +46,9 @@
 	return wireconnect.NewControlServiceClient(c.http, "http://"+address)
 }
 
+// all returns the addresses of every control instance.
+func (c *ControlClient) all() []string { return c.addresses }
+
 func (c *ControlClient) claim(ctx context.Context, request *wire.ClaimRequest) (*wire.ClaimResponse, error) {
 	return CallLeader(ctx, c, func(ctx context.Context, client wireconnect.ControlServiceClient) (*connect.Response[wire.ClaimResponse], error) {
 		return client.Claim(ctx, connect.NewRequest(request))
--- a/internal/transport/gateway/control_test.go
+++ b/internal/transport/gateway/control_test.go
@@ -17,6 +17,7 @@
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/controller"
+	"pimentogate.example/pimentogate/internal/transport/depositor"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/internal/transport/storer"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -171,9 +172,16 @@
 
 // BenchmarkOutcomeNote gives what a record costs an answer while the ring has room.
 func BenchmarkOutcomeNote(b *testing.B) {
-	l := newOutcomeLog("entry-1", nil, tally.NoopScope.Counter(""))
+	// The hand-over of earlier records goes on beside.
+	none := func() []string { return nil }
+	bounds := outcomeBounds
+	bounds.Ring = math.MaxInt
+	l := &outcomeLog{
+		Depositor: depositor.New("entry-1", bounds, nil, none, tally.NoopScope.Counter(""), logr.Discard()),
+	}
 	for b.Loop() {
 		l.noteQuery(traced{})
-		l.ring.Stored(math.MaxUint64)
 	}
+	b.StopTimer()
+	l.Close()
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/router"
 	"pimentogate.example/pimentogate/internal/coordination/tracker"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/depositor"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/internal/transport/sender"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -113,7 +114,9 @@
 	g.spreader = newSpreader(g, settings.Peers)
 	g.watcher = newWatcher(g)
 	g.concluder = newConcluder(g)
-	g.outcomes = newOutcomeLog(settings.Instance, g.control, g.meter.scope.Counter("outcome_records_lost"))
+	g.outcomes = &outcomeLog{
+		Depositor: depositor.New(settings.Instance, outcomeBounds, g.control.http, g.control.all, g.meter.scope.Counter("outcome_records_lost"), g.log),
+	}
 	g.decisions = newDecisionLog(g.log, g.meter.scope.Counter("decision_lines_lost"))
 	g.log.Info("started", "callers", g.callers.Address(), "peers", g.peers.Address())
 	go g.decisions.run()
@@ -121,7 +124,6 @@
 	go g.spreader.run()
 	go g.watcher.run()
 	go g.concluder.run()
-	go g.outcomes.run()
 	return g, nil
 }
 
--- a/internal/transport/gateway/shutdown.go
+++ b/internal/transport/gateway/shutdown.go
@@ -82,7 +82,7 @@
 // leave tells the peers, then ends every part, the loop last because the others ask it.
 func (g *Gateway) leave() {
 	g.concluder.close()
-	g.outcomes.close()
+	g.outcomes.Close()
 	g.tellLeaving()
 	close(g.closing)
 	<-g.watcher.done
