Begin a request anew where a newer configuration can answer it

Cause: a request was pinned to the route of its arrival; where its shards' replicas left meanwhile it was refused or failed, though the newer configuration named others. Parts stay of one version.

--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -162,7 +162,7 @@
 		Route:    p.route,
 		Arrived:  time.Now(),
 		Deadline: time.Now().Add(2 * time.Second),
-	}, 1)
+	}, 1).Decision
 }
 
 func (p *relayPath) checkWhole(t *testing.T) {
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 )
@@ -15,8 +17,52 @@
 	goneLinger = 250 * time.Millisecond
 )
 
-// Serve answers one request of a caller, whose route is of the configuration's version.
-func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) scatterer.Decision {
+// Served is the answer to a caller's request, with the route that it was served by.
+type Served struct {
+	Decision scatterer.Decision
+	Route    *matcher.Route
+}
+
+// Serve answers one request of a caller by a route of the configuration's version, or of a newer one that came in between where the former can't be served any more.
+func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Served {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	for {
+		d := f.serveBy(ctx, call, request, version)
+		next := f.renewed(call, version)
+		if next == nil || !scatterer.Renews(&request, &d, next.route, time.Now()) {
+			return Served{
+				Decision: d,
+				Route:    request.Route,
+			}
+		}
+		f.log.Info("request begun anew", "request", call.ID, "route", next.route.Name, "version", next.version, "before", version, "reason", d.Reason)
+		request.Route = next.route
+		version = next.version
+	}
+}
+
+// renewal is what a newer configuration holds for a request.
+type renewal struct {
+	route   *matcher.Route
+	version uint64
+}
+
+// renewed returns what a configuration newer than the version holds for the request, or nil where there is none.
+func (f *Forwarder) renewed(call *exchanger.Call, version uint64) *renewal {
+	book := f.Book()
+	if book == nil || book.Version <= version {
+		return nil
+	}
+	path, _, _ := strings.Cut(call.Path, "?")
+	return &renewal{
+		route:   book.Match(call.Host, path),
+		version: book.Version,
+	}
+}
+
+// serveBy answers one request by one route.
+func (f *Forwarder) serveBy(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) scatterer.Decision {
 	r := &run{
 		forwarder: f,
 		call:      call,
@@ -25,8 +71,6 @@
 		request:   request,
 		version:   version,
 	}
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
 	r.begin()
 	linger := loserLinger
 	select {
