Spend less on each attempt and each message of a peer

Change: a short request is written from a pooled buffer in one piece, a context is made only where a connection has to be opened or waited for, a body of known length is read into a slice of that length; an answer beyond the bound of a body is broken and not cut; the ends of a peer's message are taken in one round of decisions.

--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -6,15 +6,7 @@
 )
 
 // in returns how many shards have answered.
-func (j *Job) in() int {
-	count := 0
-	for _, s := range j.shards {
-		if s.reply != nil {
-			count++
-		}
-	}
-	return count
-}
+func (j *Job) in() int { return j.answered }
 
 // awaited returns how many shards may still answer.
 func (j *Job) awaited() int {
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -42,6 +42,8 @@
 	soft     time.Time
 	hard     time.Time
 	decision *Decision
+	// answered is how many shards have a reply.
+	answered int
 }
 
 // New returns a job that has asked nobody yet.
@@ -152,6 +154,9 @@
 		return nil
 	}
 	s.take(a, outcome)
+	if s.reply != nil {
+		j.answered++
+	}
 	var sends []*Attempt
 	if s.reply == nil && len(s.pending) == 0 {
 		sends = j.retry(now, a.Shard, s)
--- /dev/null
+++ b/internal/transport/exchanger/bench_test.go
@@ -0,0 +1,66 @@
+package exchanger
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+)
+
+// echo answers every request of one connection with the same bytes, whatever it says.
+type echo struct {
+	conn   net.Conn
+	answer []byte
+}
+
+func (e *echo) run() {
+	buffer := make([]byte, 4<<10)
+	for {
+		if _, err := e.conn.Read(buffer); err != nil {
+			return
+		}
+		if _, err := e.conn.Write(e.answer); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkAttempt gives what one attempt on a kept connection costs, with an answer of a shard's usual size.
+func BenchmarkAttempt(b *testing.B) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer socket.Close()
+	go func() {
+		conn, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		e := &echo{
+			conn:   conn,
+			answer: []byte(answer("1", string(make([]byte, 200)))),
+		}
+		e.run()
+	}()
+	e := newExchanger(4)
+	call := &Call{
+		ID:     "1",
+		Method: "GET",
+		Host:   "a.example",
+		Path:   "/x/1",
+	}
+	target := Target{
+		Replica: "r1",
+		Service: "one",
+		Address: socket.Addr().String(),
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		deadline := time.Now().Add(time.Second)
+		if got := e.Do(NewExchange(deadline), call, target, deadline); got.Kind != scatterer.OutcomeReplied {
+			b.Fatal(got)
+		}
+	}
+}
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -148,10 +149,8 @@
 
 // Do carries the attempt out; stopWork is when the replica is to stop working on it.
 func (e *Exchanger) Do(x *Exchange, call *Call, target Target, stopWork time.Time) scatterer.Outcome {
-	ctx, cancel := x.begin()
-	defer cancel()
 	for {
-		conn, err := e.pools.get(ctx, target, call.Once)
+		conn, err := e.pools.get(x, target, call.Once)
 		if err != nil {
 			return unsent(x, "no connection: "+causeOf(err))
 		}
@@ -198,7 +197,7 @@
 // send writes the request, a long one beside the reading, since a replica may answer before it has read all.
 func (e *Exchanger) send(conn *connection, request *http.Request, size int, sent chan<- error) {
 	if size <= inlineBody {
-		sent <- request.Write(conn)
+		sent <- writeAtOnce(conn, request)
 		return
 	}
 	w := &writer{
@@ -209,6 +208,23 @@
 	go w.run()
 }
 
+// buffers hold short requests while they are written.
+var buffers = sync.Pool{
+	New: func() any { return new(bytes.Buffer) },
+}
+
+// writeAtOnce writes a short request in one piece.
+func writeAtOnce(conn *connection, request *http.Request) error {
+	buffer, _ := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if err := request.Write(buffer); err != nil {
+		return err
+	}
+	_, err := conn.Write(buffer.Bytes())
+	return err
+}
+
 // writer writes one long request.
 type writer struct {
 	conn    *connection
@@ -259,7 +275,10 @@
 	return scatterer.Outcome{}, false, errForeign
 }
 
-var errForeign = errors.New("only answers to other requests")
+var (
+	errForeign = errors.New("only answers to other requests")
+	errLarge   = errors.New("answer too large")
+)
 
 // readAnswer reads one whole answer, passing over interim ones.
 func readAnswer(conn *connection, request *http.Request) (*http.Response, []byte, error) {
@@ -271,7 +290,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, mostBody))
+		body, err := readBody(response)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -279,6 +298,25 @@
 	}
 }
 
+// readBody reads a body, at once where its length is known.
+func readBody(response *http.Response) ([]byte, error) {
+	switch {
+	case response.Body == http.NoBody:
+		return nil, nil
+	case response.ContentLength > mostBody:
+		return nil, errLarge
+	case response.ContentLength >= 0:
+		body := make([]byte, response.ContentLength)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, mostBody+1))
+	if err == nil && len(body) > mostBody {
+		return nil, errLarge
+	}
+	return body, err
+}
+
 // isFramed reports whether the answer's end was marked by anything but the end of the connection.
 func isFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
@@ -313,8 +351,8 @@
 		return "timeout"
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return "connection ended"
-	case errors.Is(err, errForeign):
-		return errForeign.Error()
+	case errors.Is(err, errForeign), errors.Is(err, errLarge):
+		return err.Error()
 	default:
 		var op *net.OpError
 		if errors.As(err, &op) && op.Err != nil {
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -193,6 +193,8 @@
 		{"no answer", []string{"close", answer("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"silence", []string{"hang", answer("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"rejected", []string{"HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", answer("2", "two")}, [2]string{"rejected ", "replied two"}, 1},
+		{"no body", []string{"HTTP/1.1 204 Empty\r\nId: 1\r\n\r\n", answer("2", "two")}, [2]string{"replied ", "replied two"}, 1},
+		{"too large", []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nx", mostBody+1), answer("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"idle connection ended", []string{answer("1", "one") + "<end>", answer("2", "two")}, [2]string{"replied one", "replied two"}, 2},
 	}
 	for _, c := range cases {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -33,12 +33,14 @@
 }
 
 // get returns an idle connection, or opens one within the limit; while the limit is reached it waits.
-func (p *pools) get(ctx context.Context, target Target, fresh bool) (*connection, error) {
+func (p *pools) get(x *Exchange, target Target, fresh bool) (*connection, error) {
+	known, conn, wait := p.take(target, fresh)
+	if conn != nil {
+		return conn, nil
+	}
+	ctx, cancel := x.begin()
+	defer cancel()
 	for {
-		known, conn, wait := p.take(target, fresh)
-		if conn != nil {
-			return conn, nil
-		}
 		if wait == nil {
 			return p.dial(ctx, known)
 		}
@@ -47,6 +49,9 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		if known, conn, wait = p.take(target, fresh); conn != nil {
+			return conn, nil
+		}
 	}
 }
 
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -261,6 +261,8 @@
 		g.heard = true
 		f.relays.relayer.Heard(g.peer, g.began)
 	}
+	now := time.Now()
+	var sends []*scatterer.Attempt
 	for _, part := range parts {
 		number := int(part.GetNumber())
 		if number >= len(g.pending) || g.pending[number] == nil {
@@ -270,8 +272,9 @@
 		g.pending[number] = nil
 		outcome := relayedOutcome(part)
 		g.unsent = g.unsent || outcome.Cause == scatterer.CausePeer
-		g.owner.ended(a, outcome)
+		sends = append(sends, g.owner.ended(now, a, outcome)...)
 	}
+	g.owner.goOn(now, sends)
 }
 
 // end ends the attempts of which nothing was heard.
@@ -298,11 +301,14 @@
 	if g.given {
 		outcome.Cause = scatterer.CauseGivenUp
 	}
+	now := time.Now()
+	var sends []*scatterer.Attempt
 	for _, a := range g.pending {
 		if a != nil {
-			g.owner.ended(a, outcome)
+			sends = append(sends, g.owner.ended(now, a, outcome)...)
 		}
 	}
+	g.owner.goOn(now, sends)
 }
 
 // isUnsent reports whether the error proves that the peer was not reached, or has sent nothing since it is ending.
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -118,6 +118,9 @@
 
 // goOn sends what was decided, and waits for the next moment; the mutex is held.
 func (r *run) goOn(now time.Time, sends []*scatterer.Attempt) {
+	if r.job.Decision() != nil {
+		sends = r.drop(now, sends)
+	}
 	for _, a := range sends {
 		r.attempts = append(r.attempts, attemptNote{
 			attempt:  a,
@@ -148,6 +151,17 @@
 	r.timer.Reset(max(r.job.Wake().Sub(now), time.Millisecond))
 }
 
+// drop takes attempts back that a decision has overtaken before they were sent; the mutex is held.
+func (r *run) drop(now time.Time, sends []*scatterer.Attempt) []*scatterer.Attempt {
+	for _, a := range sends {
+		r.job.Ended(now, a, scatterer.Outcome{
+			Kind:  scatterer.OutcomeUnsent,
+			Cause: scatterer.CauseGivenUp,
+		})
+	}
+	return nil
+}
+
 // deadlineSlack is how long after a replica was to stop its answer may still come.
 const deadlineSlack = 20 * time.Millisecond
 
@@ -242,12 +256,12 @@
 	outcome := f.exchanger.Do(a.exchange, r.call, target, a.attempt.Deadline)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	r.ended(a.attempt, outcome)
+	now := time.Now()
+	r.goOn(now, r.ended(now, a.attempt, outcome))
 }
 
-// ended takes the end of an attempt, and goes on; the mutex is held.
-func (r *run) ended(a *scatterer.Attempt, outcome scatterer.Outcome) {
-	now := time.Now()
+// ended takes the end of an attempt, and returns those that follow from it; the mutex is held.
+func (r *run) ended(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) []*scatterer.Attempt {
 	r.noteEnd(now, a, outcome)
-	r.goOn(now, r.job.Ended(now, a, outcome))
+	return r.job.Ended(now, a, outcome)
 }
