--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -58,7 +58,8 @@
 		class:    r.Name,
 		hard:     earlier(request.Deadline, request.Arrived.Add(r.Timeout)).Add(-answerMargin),
 	}
-	j.soft = earlier(request.Arrived.Add(max(r.Target-policies.Allowance, r.Target/2)), j.hard)
+	allowance := policies.Allowance + policies.Overrun.For(r.Target)
+	j.soft = earlier(request.Arrived.Add(max(r.Target-allowance, r.Target/2)), j.hard)
 	if !r.IsGathered() {
 		j.shards = []*shard{{
 			service: r.ServiceFor(request.ID),
@@ -76,6 +77,13 @@
 // Decision returns what the caller is told, or nil while that is open.
 func (j *Job) Decision() *Decision { return j.decision }
 
+// Written notes when the answer had been written to the caller; what an answer in part takes beyond its moment is allowed for from then on.
+func (j *Job) Written(now time.Time) {
+	if j.decision != nil && j.decision.Kind == Gathered && j.decision.Reason == ReasonCut {
+		j.policies.Overrun.Observe(now.Sub(j.soft))
+	}
+}
+
 // Pending returns the attempts without an end.
 func (j *Job) Pending() []*Attempt {
 	var list []*Attempt
--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -21,6 +21,7 @@
 		Balancer:  balancer.New("a", random),
 		Shedder:   shedder.New(random),
 		Allowance: 10 * time.Millisecond,
+		Overrun:   &Overrun{},
 	}
 	windows := map[string]*limiter.Window{}
 	p.Window = func(service string) *limiter.Window {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -168,4 +168,6 @@
 	Window func(service string) *limiter.Window
 	// Allowance is the time that an answer needs to its caller, and the request before it.
 	Allowance time.Duration
+	// Overrun is what this instance itself takes beyond that.
+	Overrun *Overrun
 }
--- a/internal/protocol/checker/forwarder.go
+++ b/internal/protocol/checker/forwarder.go
@@ -29,7 +29,7 @@
 	defaultRepeatRatio       = 0.05
 	defaultRepeatBurst       = 20
 	defaultRepeatWindowMs    = 10_000
-	defaultCallerAllowanceMs = 14
+	defaultCallerAllowanceMs = 13
 	defaultGraceMs           = 6_000
 )
 
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -89,6 +89,7 @@
 		Shedder:   shedder.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Window:    f.window,
 		Allowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
+		Overrun:   &scatterer.Overrun{},
 	}
 	f.exchanger = exchanger.New(protocol.Codec, f.connectionShare, f.meter.connectionOpened)
 	f.directory = newDirectory(f)
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -21,6 +21,16 @@
 type Served struct {
 	Decision scatterer.Decision
 	Route    *matcher.Route
+
+	run *run
+}
+
+// Written is called once the answer has been written to the caller.
+func (s *Served) Written() {
+	f := s.run.forwarder
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	s.run.job.Written(time.Now())
 }
 
 // Serve answers one request of a caller by a route of the configuration's version, or of a newer one that came in between where the former can't be served any more.
@@ -28,12 +38,14 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	for {
-		d := f.serveBy(ctx, call, request, version)
+		r := f.newRun(call, request, version)
+		d := r.serve(ctx)
 		next := f.renewed(call, version)
 		if next == nil || !scatterer.Renews(&request, &d, next.route, time.Now()) {
 			return Served{
 				Decision: d,
 				Route:    request.Route,
+				run:      r,
 			}
 		}
 		f.log.Info("request begun anew", "request", call.ID, "route", next.route.Name, "version", next.version, "before", version, "reason", d.Reason)
@@ -61,9 +73,23 @@
 	}
 }
 
-// serveBy answers one request by one route.
-func (f *Forwarder) serveBy(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) scatterer.Decision {
-	r := &run{
+// run is one request under way.
+type run struct {
+	forwarder *Forwarder
+	call      *exchanger.Call
+	job       *scatterer.Job
+	exchanges map[*scatterer.Attempt]*exchanger.Exchange
+	timer     *time.Timer
+	decided   chan struct{}
+	over      bool
+	request   scatterer.Request
+	version   uint64
+	attempts  []attemptNote
+	relayed   []*relayRun
+}
+
+func (f *Forwarder) newRun(call *exchanger.Call, request scatterer.Request, version uint64) *run {
+	return &run{
 		forwarder: f,
 		call:      call,
 		exchanges: map[*scatterer.Attempt]*exchanger.Exchange{},
@@ -71,6 +97,10 @@
 		request:   request,
 		version:   version,
 	}
+}
+
+// serve goes on until there is a decision, or the caller has gone.
+func (r *run) serve(ctx context.Context) scatterer.Decision {
 	r.begin()
 	linger := loserLinger
 	select {
@@ -81,21 +111,6 @@
 	return r.end(linger)
 }
 
-// run is one request under way.
-type run struct {
-	forwarder *Forwarder
-	call      *exchanger.Call
-	job       *scatterer.Job
-	exchanges map[*scatterer.Attempt]*exchanger.Exchange
-	timer     *time.Timer
-	decided   chan struct{}
-	over      bool
-	request   scatterer.Request
-	version   uint64
-	attempts  []attemptNote
-	relayed   []*relayRun
-}
-
 // begin asks the first replicas.
 func (r *run) begin() {
 	f := r.forwarder
