Divide connections among those that open them

An instance that had just started assumed 12 others in place of 77, and services that are asked one by one were divided among the own availability zone's instances though all others open connections there too. Change: one connection to a replica until control has told how many instances there are; the part of the availability zone only for services that are nothing but shards. Dead connections of instances that lost power may hold places at a replica; no run has shown that.

--- a/internal/coordination/limiter/sharers.go
+++ b/internal/coordination/limiter/sharers.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// IsKnown reports whether a number was heard.
+func (s *Sharers) IsKnown() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.assumed
+}
+
 // Hear takes a number, 0 for one that is not known, and returns the one to go by: a greater one at once, a smaller one only when nothing greater was heard for long.
 func (s *Sharers) Hear(now time.Time, count int) int {
 	s.mutex.Lock()
--- a/internal/coordination/matcher/book.go
+++ b/internal/coordination/matcher/book.go
@@ -64,6 +64,8 @@
 
 	byHost   map[string][]*Route
 	services map[string]*Service
+	// single are the services that requests go to one by one.
+	single map[string]bool
 }
 
 // InvalidError names the field of a configuration that can't be put in force.
@@ -84,6 +86,7 @@
 		Limits:   limits,
 		byHost:   map[string][]*Route{},
 		services: map[string]*Service{},
+		single:   map[string]bool{},
 	}
 	for i := range services {
 		b.services[services[i].Name] = &services[i]
@@ -107,6 +110,11 @@
 		return err
 	}
 	b.byHost[r.Host] = append(b.byHost[r.Host], r)
+	if !r.IsGathered() {
+		for _, name := range r.ServiceNames() {
+			b.single[name] = true
+		}
+	}
 	return nil
 }
 
@@ -202,6 +210,9 @@
 	return nil
 }
 
+// IsOnlyGathered reports whether the service is asked as a shard only, and by no route alone.
+func (b *Book) IsOnlyGathered(name string) bool { return !b.single[name] }
+
 // FindService returns the service of the name, or nil.
 func (b *Book) FindService(name string) *Service { return b.services[name] }
 
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -63,7 +63,7 @@
 		unconfirmed: map[string]bool{},
 	}
 	d.sharers = limiter.NewSharers(assumedSharers)
-	d.followers.Store(assumedSharers)
+	d.followers.Store(assumedConnectors)
 	return d
 }
 
@@ -221,7 +221,9 @@
 func (d *directory) take(response *wire.FollowResponse) {
 	d.takeRoster(response)
 	count := d.sharers.Hear(time.Now(), int(response.GetFollowers()))
-	d.followers.Store(int64(count))
+	if d.sharers.IsKnown() {
+		d.followers.Store(int64(count))
+	}
 	d.forwarder.share(count)
 	d.takeReplicas(response)
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -197,8 +197,10 @@
 }
 
 const (
-	// assumedSharers is how many entry instances are assumed to share limits while control has not told.
+	// assumedSharers is how many entry instances are assumed to share repeats while control has not told.
 	assumedSharers = 12
+	// assumedConnectors is the same for replicas' connections, one more than any replica is known to take: after a restart of a large fleet each instance has one until it is told.
+	assumedConnectors = 64
 	// connectionsKept of a replica's limit are used, so that instances which count each other late do not pass it together.
 	connectionsKept = 0.85
 	// burstKept of the burst of repeats is used, for the same reason.
@@ -219,13 +221,18 @@
 
 // reach returns how this instance gets to the replicas of the service.
 func (f *Forwarder) reach(service string) limiter.Reach {
-	limit := defaultConnections
+	limit, carried := defaultConnections, true
 	if book := f.book.Load(); book != nil {
+		carried = book.IsOnlyGathered(service)
 		if known := book.FindService(service); known != nil && known.Connections > 0 {
 			limit = known.Connections
 		}
 	}
-	return limiter.Divide(int(connectionsKept*float64(limit)), int(f.directory.followers.Load()), int(f.relays.neighbours.Load()))
+	neighbours := f.directory.followers.Load()
+	if carried {
+		neighbours = f.relays.neighbours.Load()
+	}
+	return limiter.Divide(int(connectionsKept*float64(limit)), int(f.directory.followers.Load()), int(neighbours))
 }
 
 // window returns the budget of repeats of the service; the mutex is held.
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -48,10 +48,10 @@
 	r := &relays{
 		forwarder: f,
 		relayer:   relayer.New(f.settings.Instance, f.settings.Zone),
-		counter:   limiter.NewSharers(assumedSharers),
+		counter:   limiter.NewSharers(assumedConnectors),
 		client:    listener.NewClient(),
 	}
-	r.neighbours.Store(assumedSharers)
+	r.neighbours.Store(assumedConnectors)
 	return r
 }
 
