Use replicas that have failed where none is left that has not

Cause of part of TestWrongReplies/owner: with 1 to 2 % wrong replies of each kind every replica of a shard is soon at rest after a failure; two-choices then takes the best of those at rest, but the owner policy left its queue standing until a rest ended, so waits grew to 200 ms (`waited-us` of the routed lines) and admission refused nearly all. Ruled out: counts of slots or of waiting sub-requests that are never given back; the hedge's quantile. Change: a replica at rest is passed over only while another one that the sub-request may go to is not. TestAllHaveFailed failed before for the owner policy.

--- a/internal/coordination/gatherer/machine_test.go
+++ b/internal/coordination/gatherer/machine_test.go
@@ -271,3 +271,24 @@
 		t.Errorf("%d attempts at a shard with 2 replicas", count)
 	}
 }
+
+// TestAllHaveFailed holds that a shard whose replicas have all failed just now is asked at once, whatever the policy: waiting until one of them is trusted again would help nobody.
+func TestAllHaveFailed(t *testing.T) {
+	for _, policy := range router.Policies() {
+		d := newDriver(t, policy)
+		d.version(1, 1)
+		d.hold("a", 1, 0)
+		d.hold("b", 1, 0)
+		d.ask("first", second)
+		for len(d.sends) > 0 {
+			d.fail(d.take(0), Failure{})
+		}
+		query := d.ask("next", second)
+		if len(d.sends) != 1 {
+			t.Errorf("%s: %d sends of the next query", policy, len(d.sends))
+			continue
+		}
+		d.replyAll()
+		d.check(d.answer(query))
+	}
+}
--- a/internal/coordination/gatherer/placement.go
+++ b/internal/coordination/gatherer/placement.go
@@ -110,17 +110,20 @@
 func (m *Machine) pickFree(now time.Time, s *shardState, candidates []*registrar.Replica) *registrar.Replica {
 	var free []*registrar.Replica
 	for _, replica := range candidates {
-		if m.isFree(now, s, replica) {
+		if m.isFree(now, s, replica) && !m.isShunned(now, replica, candidates) {
 			free = append(free, replica)
 		}
 	}
 	return m.Router.Pick(now, free)
 }
 
+// isShunned reports whether a replica that has failed is passed over, which it is only while another one that a sub-request may go to has not: where all have failed, waiting would help nobody.
+func (m *Machine) isShunned(now time.Time, replica *registrar.Replica, candidates []*registrar.Replica) bool {
+	return m.Router.Rests(now, replica.Upstream) &&
+		slices.ContainsFunc(candidates, func(c *registrar.Replica) bool { return !m.Router.Rests(now, c.Upstream) })
+}
+
 func (m *Machine) isFree(now time.Time, s *shardState, replica *registrar.Replica) bool {
-	if m.Router.Rests(now, replica.Upstream) {
-		return false
-	}
 	if !m.Router.Policy().Queues() {
 		return m.Router.InFlight(replica.Upstream) < int(replica.Slots)
 	}
@@ -240,7 +243,7 @@
 
 // pull gives the replica's free slots to the most urgent sub-requests that wait for it.
 func (m *Machine) pull(now time.Time, replica *registrar.Replica) {
-	for !m.Router.Rests(now, replica.Upstream) {
+	for !m.isShunned(now, replica, m.queue.Candidates(replica)) {
 		item, ok := m.queue.Next(now, replica, m.Router.LongestStall())
 		if !ok {
 			return
--- a/internal/coordination/queuer/queuer.go
+++ b/internal/coordination/queuer/queuer.go
@@ -90,6 +90,21 @@
 	return nil, false
 }
 
+// Candidates returns the replicas that the most urgent item of a replica's queue may go to, or nothing where none waits.
+func (q *Queuer[T]) Candidates(replica *registrar.Replica) []*registrar.Replica {
+	at := q.at(replica)
+	for {
+		item, ok := at.items.Peek()
+		switch {
+		case !ok:
+			return nil
+		case !item.gone:
+			return item.replicas
+		}
+		at.items.Pop()
+	}
+}
+
 // IsFree reports whether the replica would run one more item at once.
 func (q *Queuer[T]) IsFree(now time.Time, replica *registrar.Replica, stall time.Duration) bool {
 	at := q.at(replica)
