--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -99,10 +100,11 @@
 		return nil, saved, err
 	}
 	s := &Storer{
-		folder:    folder,
-		file:      file,
-		hard:      content.hard,
-		entries:   saved.Entries,
+		folder: folder,
+		file:   file,
+		hard:   content.hard,
+		// The log of whoever opened the journal goes on from the same entries, in another goroutine.
+		entries:   slices.Clone(saved.Entries),
 		committed: content.committed,
 	}
 	return s, saved, nil
--- a/internal/transport/storer/storer_test.go
+++ b/internal/transport/storer/storer_test.go
@@ -84,6 +84,23 @@
 	return saved
 }
 
+// TestKeepsToItself holds that what was read belongs to whoever opened the journal: a save, which comes later than the change of its log, overwrites nothing there.
+func TestKeepsToItself(t *testing.T) {
+	const changed = termBefore + 1
+	folder := formed(t)
+	for count := range entryCount {
+		s, saved, err := Open(folder)
+		check(t, err)
+		last := uint64(len(saved.Entries))
+		log := append(saved.Entries, entry(last+1, changed))
+		check(t, s.Save(actions(entry(last+1, termBefore))))
+		if got := log[last].GetTerm(); got != changed {
+			t.Errorf("with %d entries: a save has put an entry of term %d in place of the log's own", entryCount+count, got)
+		}
+		check(t, s.Close())
+	}
+}
+
 func TestTornTail(t *testing.T) {
 	folder := formed(t)
 	path := filepath.Join(folder, journalName)
