--- a/internal/transport/storer/storer_test.go
+++ b/internal/transport/storer/storer_test.go
@@ -92,7 +92,8 @@
 		s, saved, err := Open(folder)
 		check(t, err)
 		last := uint64(len(saved.Entries))
-		log := append(saved.Entries, entry(last+1, changed))
+		log := saved.Entries
+		log = append(log, entry(last+1, changed))
 		check(t, s.Save(actions(entry(last+1, termBefore))))
 		if got := log[last].GetTerm(); got != changed {
 			t.Errorf("with %d entries: a save has put an entry of term %d in place of the log's own", entryCount+count, got)
