Serve an instance's own metrics before those of the Go runtime

The users' fetch of metrics during an incident keeps the first 4 KiB of a page.

TestOwnMetricsComeFirst failed before: own metric at byte 6746, the runtime's at 1027.

--- a/internal/transport/reporter/reporter.go
+++ b/internal/transport/reporter/reporter.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 )
@@ -19,15 +20,17 @@
 	// Scope is the root scope, on which the components of the instance register their metrics.
 	Scope tally.Scope
 
-	handler http.Handler
-	closer  io.Closer
+	// handlers serve the metrics of the scope, then those of the process and the Go runtime.
+	handlers []http.Handler
+	closer   io.Closer
 }
 
 // New returns a reporter with the metrics of the process and the Go runtime.
 func New() *Reporter {
-	// A separate registry allows several instances in one process.
+	// Separate registries allow several instances in one process.
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	runtimeRegistry := prometheus.NewRegistry()
+	runtimeRegistry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	metricsReporter := tallyprometheus.NewReporter(tallyprometheus.Options{
 		Registerer: registry,
 		Gatherer:   registry,
@@ -38,14 +41,30 @@
 		Separator:      tallyprometheus.DefaultSeparator,
 	}, reportPeriod)
 	return &Reporter{
-		Scope:   scope,
-		handler: metricsReporter.HTTPHandler(),
-		closer:  closer,
+		Scope: scope,
+		handlers: []http.Handler{
+			newHandler(registry),
+			newHandler(runtimeRegistry),
+		},
+		closer: closer,
 	}
 }
 
 // Close stops the reporting.
 func (r *Reporter) Close() { _ = r.closer.Close() }
 
-// Handler returns the handler that serves the metrics in the Prometheus text format.
-func (r *Reporter) Handler() http.Handler { return r.handler }
+// newHandler returns a handler that does not compress, so that its output can follow that of another.
+func newHandler(registry *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{
+		DisableCompression: true,
+	})
+}
+
+// Handler returns the handler that serves the metrics in the Prometheus text format. Those of the scope come first, since a monitoring system may truncate the response.
+func (r *Reporter) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		for _, handler := range r.handlers {
+			handler.ServeHTTP(w, request)
+		}
+	})
+}
