--- a/internal/state/journaler/election.go
+++ b/internal/state/journaler/election.go
@@ -1,12 +1,45 @@
 package journaler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
+// LostElection describes an election or pre-vote that ended without a leader.
+type LostElection struct {
+	// Count numbers the lost elections of this instance since its start, from 1.
+	Count uint64
+	Term  uint64
+	// IsPreVote is set if the pre-vote was lost already.
+	IsPreVote bool
+	// GrantedBy are the identities that granted their vote, sorted, this instance included.
+	GrantedBy []string
+	// Quorum is the number of votes needed.
+	Quorum int
+}
+
+// LostElection returns the latest election that this instance has lost, or a zero value.
+func (m *Machine) LostElection() LostElection { return m.lostElection }
+
+// recordLostElection stores the votes of an election that has timed out.
+func (m *Machine) recordLostElection() {
+	if m.role != PreCandidate && m.role != Candidate {
+		return
+	}
+	m.lostElection = LostElection{
+		Count:     m.lostElection.Count + 1,
+		Term:      m.Term(),
+		IsPreVote: m.role == PreCandidate,
+		GrantedBy: slices.Sorted(maps.Keys(m.votes)),
+		Quorum:    m.members.QuorumSize(),
+	}
+}
+
 func (m *Machine) startPreVote(now time.Time) {
+	m.recordLostElection()
 	m.role = PreCandidate
 	m.leader = ""
 	m.votes = map[string]bool{m.ID(): true}
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -126,6 +126,7 @@
 	leaderContactAt  time.Time
 	lastRoundAt      time.Time
 	votes            map[string]bool
+	lostElection     LostElection
 	peers            map[string]*progress
 	// termStartIndex and electedAt are the index of the leader's first entry in its term and the time of its election.
 	termStartIndex uint64
--- a/internal/state/journaler/machine_test.go
+++ b/internal/state/journaler/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -191,3 +192,15 @@
 		}
 	}
 }
+
+// TestLostElectionNamesItsVotes checks that an instance that nobody answers reports who has granted its pre-vote.
+func TestLostElectionNamesItsVotes(t *testing.T) {
+	m := newFollower(&wire.HardState{})
+	for ms := 0; m.LostElection().Count < 2; ms++ {
+		m.Tick(at(ms))
+	}
+	lost := m.LostElection()
+	if !lost.IsPreVote || lost.Quorum != 2 || !slices.Equal(lost.GrantedBy, []string{"b"}) {
+		t.Errorf("lost election %+v, want a pre-vote granted by b alone", lost)
+	}
+}
--- a/internal/state/journaler/members.go
+++ b/internal/state/journaler/members.go
@@ -1,6 +1,8 @@
 package journaler
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -72,3 +74,28 @@
 	}
 	return count
 }
+
+// VoterIDs returns the identities of the voters.
+func (m Members) VoterIDs() []string {
+	return m.ids(func(member *wire.ControlMember) bool { return !member.GetLearner() })
+}
+
+// LearnerIDs returns the identities of the learners.
+func (m Members) LearnerIDs() []string {
+	return m.ids((*wire.ControlMember).GetLearner)
+}
+
+func (m Members) ids(include func(member *wire.ControlMember) bool) []string {
+	list := []string{}
+	for _, member := range m {
+		if include(member) {
+			list = append(list, member.GetId())
+		}
+	}
+	return list
+}
+
+// Equal reports whether both lists hold the same members in the same order.
+func (m Members) Equal(other Members) bool {
+	return slices.EqualFunc(m, other, func(a, b *wire.ControlMember) bool { return a == b || proto.Equal(a, b) })
+}
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -64,9 +64,11 @@
 	minCompactLength int
 	saver            *saver
 	// isSaving is set while a batch of actions is being made durable.
-	isSaving     bool
-	meter        *meter
-	leadership   leadership
+	isSaving   bool
+	meter      *meter
+	leadership leadership
+	// members is the membership that was logged last.
+	members      journaler.Members
 	fatalErr     error
 	appliedIndex uint64
 	followers    *followers
@@ -374,6 +376,7 @@
 // notifySubscribers updates the leadership, fails the waiting commands unless this instance is the leader, and publishes the current state to watch streams and followers.
 func (c *Controller) notifySubscribers() {
 	c.updateLeadership()
+	c.updateMembers()
 	if c.machine.Role() != journaler.Leader {
 		c.failWaiters(errLeadershipLost)
 	}
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -54,6 +54,8 @@
 	role   journaler.Role
 	term   uint64
 	leader string
+	// lostElections counts the elections that this instance has lost.
+	lostElections uint64
 }
 
 // updateLeadership stores the current leadership, logs a change of leader and counts elections that this instance has won.
@@ -62,10 +64,15 @@
 		role:   c.machine.Role(),
 		term:   c.machine.Term(),
 		leader: c.machine.Leader(),
+
+		lostElections: c.machine.LostElection().Count,
 	}
 	if current == c.leadership {
 		return
 	}
+	if lost := c.machine.LostElection(); lost.Count != c.leadership.lostElections {
+		c.log.Info("election lost", "term", lost.Term, "pre-vote", lost.IsPreVote, "granted-by", lost.GrantedBy, "quorum", lost.Quorum, "last-index", c.machine.LastIndex())
+	}
 	if current.role == journaler.Leader && c.leadership.role != journaler.Leader {
 		c.meter.elections.Inc(1)
 	}
@@ -76,6 +83,16 @@
 	c.leadership = current
 }
 
+// updateMembers logs the membership if it has changed, whether or not the change is committed.
+func (c *Controller) updateMembers() {
+	members := c.machine.Members()
+	if members.Equal(c.members) {
+		return
+	}
+	c.members = members
+	c.log.Info("members changed", "voters", members.VoterIDs(), "learners", members.LearnerIDs(), "quorum", members.QuorumSize(), "last-index", c.machine.LastIndex())
+}
+
 // updateGauges updates all gauges. It must be called from the event loop.
 func (c *Controller) updateGauges(now time.Time) {
 	m := c.meter
