--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -70,6 +70,7 @@
 type node struct {
 	cluster       *cluster
 	address       string
+	zone          string
 	id            string
 	disk          *disk
 	machine       *Machine
@@ -79,7 +80,7 @@
 	stateHash     uint64
 	proposedTerms map[uint64]uint64
 	pausedUntil   time.Time
-	// joining is set from the loss of the disk until the new identity has a vote.
+	// joining is set from the start without a vote, or without a recorded zone, until the instance has both.
 	joining bool
 }
 
@@ -98,6 +99,8 @@
 	inFlight     []inFlightMessage
 	blockedLinks map[string]bool
 	unreliable   bool
+	// openMembership is set if instances may join without being added by an operator.
+	openMembership bool
 
 	leaderOfTerm map[uint64]string
 	stateHashes  map[uint64]uint64
@@ -165,6 +168,7 @@
 	}
 	n.disk.entries = append([]*wire.JournalEntry(nil), saved.Entries...)
 	n.machine = New(testTiming, rand.New(rand.NewPCG(c.random.Uint64(), 1)), saved, c.now)
+	n.machine.OpenMembership = c.openMembership
 	n.appliedIndex = 0
 	n.stateHash = 0
 	n.inbox = nil
@@ -190,6 +194,11 @@
 func (n *node) loseDisk() {
 	n.cluster.identityCount++
 	n.id = fmt.Sprintf("%s-new%d", n.address, n.cluster.identityCount)
+	n.startEmpty()
+}
+
+// startEmpty starts the instance with an empty disk under its identity.
+func (n *node) startEmpty() {
 	n.disk = &disk{
 		hardState: &wire.HardState{
 			Id: n.id,
@@ -203,7 +212,7 @@
 // requestJoin sends a join request to each reachable instance.
 func (n *node) requestJoin() {
 	c := n.cluster
-	if n.machine.HasJoined() {
+	if n.machine.HasJoined() && n.machine.Members().Find(n.id).GetZone() == n.zone {
 		n.joining = false
 		return
 	}
@@ -214,6 +223,7 @@
 		_ = other.machine.Join(c.now, &wire.ControlMember{
 			Id:      n.id,
 			Address: n.address,
+			Zone:    n.zone,
 		})
 	}
 }
