Remove silent voters of an open membership

All control instances ran, and none led.

Cause: an instance that is gone for good kept its vote. The leader looked for a member to replace only while a newcomer joined, and only for one silent for 6 s; a successor that starts a second after its predecessor became a fifth voter, and after that nobody looked again. After two such replacements the quorum was four of six voters, of which four ran; one of them then lost its disk, came back without a vote, and there was no leader to give it one.

Change: the leader removes the voter that has been silent longest, if that is 3 s or more, at any time. It keeps at least 2T+1 voters, where T is how many disks may be lost at once, so that a committed entry is on T+1 disks; T is the setting tolerated-losses, filled in from the platform's. An instance that was removed while it was cut off joins again after 1 s without a leader, so it has its vote back within 4 s.

Weighed: removing only members with a live successor in their zone. It would keep the vote of an instance that leaves without a successor, and of one that is replaced elsewhere.

The driver of the cluster tests let a leader ask only others to join; it asks itself now, as the controller does.

--- a/internal/protocol/checker/formation.go
+++ b/internal/protocol/checker/formation.go
@@ -13,6 +13,8 @@
 	Seeds []string `json:"seeds"`
 	// FirstStart is set if the system starts for the first time, with empty disks.
 	FirstStart bool `json:"first-start"`
+	// ToleratedLosses is the number of control instances that may lose their disks at once. If it is 0 or left out, one may.
+	ToleratedLosses int `json:"tolerated-losses,omitempty"`
 }
 
 // PlatformControl holds the addresses at which a control instance serves a platform.
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -157,6 +157,7 @@
 	if s.Formation != nil {
 		v.require("formation.seeds", len(s.Formation.Seeds) > 0, "at least one address")
 		v.requireAddresses("formation.seeds", s.Formation.Seeds)
+		v.require("formation.tolerated-losses", s.Formation.ToleratedLosses >= 0, "at least 0")
 	}
 	if s.Platform != nil {
 		v.requireAddress("platform.listen", s.Platform.Listen)
--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -15,6 +15,8 @@
 const (
 	testStep     = time.Millisecond
 	compactAfter = 20
+	// recoveryTime is how long after a fault the cluster may need until it bears the next one.
+	recoveryTime = 4 * time.Second
 )
 
 var testTiming = Timing{
@@ -82,6 +84,8 @@
 	pausedUntil   time.Time
 	// joining is set from the start without a vote, or without a recorded zone, until the instance has both.
 	joining bool
+	// contactAt is when the instance was last in contact with a leader.
+	contactAt time.Time
 }
 
 type inFlightMessage struct {
@@ -101,6 +105,9 @@
 	unreliable   bool
 	// openMembership is set if instances may join without being added by an operator.
 	openMembership bool
+	recoveryTime   time.Duration
+	// toleratedLosses is the number of disks that may be lost at once.
+	toleratedLosses int
 
 	leaderOfTerm map[uint64]string
 	stateHashes  map[uint64]uint64
@@ -117,6 +124,7 @@
 		now:          time.Unix(1000, 0),
 		blockedLinks: map[string]bool{},
 		unreliable:   true,
+		recoveryTime: recoveryTime,
 		leaderOfTerm: map[uint64]string{},
 		stateHashes:  map[uint64]uint64{},
 	}
@@ -169,6 +177,8 @@
 	n.disk.entries = append([]*wire.JournalEntry(nil), saved.Entries...)
 	n.machine = New(testTiming, rand.New(rand.NewPCG(c.random.Uint64(), 1)), saved, c.now)
 	n.machine.OpenMembership = c.openMembership
+	n.machine.ToleratedLosses = c.toleratedLosses
+	n.contactAt = c.now
 	n.appliedIndex = 0
 	n.stateHash = 0
 	n.inbox = nil
@@ -209,15 +219,21 @@
 	n.start()
 }
 
+// needsJoin reports whether the instance has no vote yet, or may have lost it while it was out of contact.
+func (n *node) needsJoin() bool {
+	wasRemoved := !n.machine.HasJoined() || n.cluster.now.Sub(n.contactAt) > time.Second
+	return n.joining || n.cluster.openMembership && wasRemoved
+}
+
 // requestJoin sends a join request to each reachable instance.
 func (n *node) requestJoin() {
 	c := n.cluster
-	if n.machine.HasJoined() && n.machine.Members().Find(n.id).GetZone() == n.zone {
+	if n.joining && n.machine.HasJoined() && n.machine.Members().Find(n.id).GetZone() == n.zone {
 		n.joining = false
 		return
 	}
 	for _, other := range c.nodes {
-		if other == n || !other.isRunning() || !n.isRunning() || c.blockedLinks[n.address+">"+other.address] || c.blockedLinks[other.address+">"+n.address] {
+		if !other.isRunning() || !n.isRunning() || c.blockedLinks[n.address+">"+other.address] || c.blockedLinks[other.address+">"+n.address] {
 			continue
 		}
 		_ = other.machine.Join(c.now, &wire.ControlMember{
@@ -383,7 +399,10 @@
 		if !n.isRunning() || c.now.Before(n.pausedUntil) {
 			continue
 		}
-		if n.joining && c.random.IntN(20) == 0 {
+		if n.machine.InContact(c.now) {
+			n.contactAt = c.now
+		}
+		if n.needsJoin() && c.random.IntN(20) == 0 {
 			n.requestJoin()
 		}
 		crashPoint := noCrash
@@ -484,8 +503,8 @@
 	for _, n := range c.nodes {
 		c.resume(n)
 	}
-	// Delayed messages sent before this point still arrive for a while.
-	c.runFor(2 * time.Second)
+	// Delayed messages sent before this point still arrive for a while, and instances that were removed join again.
+	c.runFor(c.recoveryTime)
 	n := c.leader()
 	if n == nil {
 		c.failf("no leader with a lease after all faults have ended")
--- a/internal/state/journaler/join.go
+++ b/internal/state/journaler/join.go
@@ -9,8 +9,8 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-// maxMemberSilence is the silence after which a joining instance of the same zone may replace a member; it is longer than a restart or a brief network partition.
-const maxMemberSilence = 6 * time.Second
+// maxMemberSilence is the silence after which a member of an open membership is removed. It is longer than a restart; a member that returns later joins again.
+const maxMemberSilence = 3 * time.Second
 
 // ChangePendingError rejects a membership change while an earlier one may be uncommitted.
 type ChangePendingError struct {
@@ -162,6 +162,29 @@
 	return nil
 }
 
+// removeSilentVoter proposes the removal of the voter that has been silent longest, if that is maxMemberSilence or more. Otherwise an instance that is gone for good would count in every quorum.
+func (m *Machine) removeSilentVoter(now time.Time) {
+	if !m.OpenMembership || m.members.VoterCount() <= m.minVoters() || m.hasPendingChange() {
+		return
+	}
+	var silent *wire.ControlMember
+	for _, member := range m.members {
+		isCandidate := !member.GetLearner() && m.isSilent(now, member, maxMemberSilence)
+		if isCandidate && (silent == nil || m.peer(member.GetId()).ackedRoundSentAt.Before(m.peer(silent.GetId()).ackedRoundSentAt)) {
+			silent = member
+		}
+	}
+	if silent != nil {
+		// The next tick retries a proposal that is rejected.
+		_, _, _ = m.ProposeMembers(now, m.members.Without(silent.GetId()))
+	}
+}
+
+// minVoters returns the number of voters whose quorums hold each committed entry on more disks than may be lost at once.
+func (m *Machine) minVoters() int {
+	return 2*max(m.ToleratedLosses, 1) + 1
+}
+
 func newJoinError(joiner *wire.ControlMember, reason string) error {
 	return &JoinError{
 		ID:      joiner.GetId(),
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -108,8 +108,10 @@
 
 // Machine is the consensus state machine of one control instance. It is not safe for concurrent use.
 type Machine struct {
-	// OpenMembership allows instances to join without being added by an operator, and to replace a silent member of the same zone.
+	// OpenMembership allows instances to join without being added by an operator, and removes members that are silent.
 	OpenMembership bool
+	// ToleratedLosses is the number of disks that may be lost at once; it limits the removal of silent members. 0 stands for 1.
+	ToleratedLosses int
 
 	timing Timing
 	random *rand.Rand
--- a/internal/state/journaler/membership_test.go
+++ b/internal/state/journaler/membership_test.go
@@ -6,12 +6,17 @@
 	"time"
 )
 
+// catchUpTime is how long after the start of an instance the cluster has to bear the next loss.
+const catchUpTime = 4 * time.Second
+
 // newOpenCluster returns a reliable cluster with an open membership, each instance in its own zone, and waits until all zones are recorded.
-func newOpenCluster(t *testing.T, seed uint64, size int) *cluster {
+func newOpenCluster(t *testing.T, seed uint64, size, toleratedLosses int) *cluster {
 	t.Helper()
 	c := newCluster(t, seed, size)
 	c.unreliable = false
 	c.openMembership = true
+	c.recoveryTime = catchUpTime
+	c.toleratedLosses = toleratedLosses
 	for i, n := range c.nodes {
 		n.zone = fmt.Sprintf("zone-%d", i)
 		n.joining = true
@@ -36,6 +41,14 @@
 	successor.startEmpty()
 }
 
+// isolate cuts an instance off from all others.
+func (c *cluster) isolate(i int) {
+	for j := range c.nodes {
+		c.blockedLinks[c.nodes[i].address+">"+c.nodes[j].address] = true
+		c.blockedLinks[c.nodes[j].address+">"+c.nodes[i].address] = true
+	}
+}
+
 // acknowledge commits an entry and fails the test if no leader does.
 func (c *cluster) acknowledge(payload string) {
 	c.t.Helper()
@@ -61,18 +74,102 @@
 	}
 }
 
-// TestLostDiskAfterReplacements checks that instances which were replaced do not keep the quorum out of reach when another one loses its disk.
+// TestLostDiskAfterReplacements checks that instances which were replaced do not keep the quorum out of reach when others lose their disks.
 func TestLostDiskAfterReplacements(t *testing.T) {
-	for seed := range uint64(20) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			c := newOpenCluster(t, seed, 4)
-			for _, i := range []int{0, 3} {
-				c.replace(i, 1200*time.Millisecond)
-				c.runFor(10 * time.Second)
-			}
-			c.acknowledge("after the replacements")
-			c.restartWithLostDisks(int(seed) % 4)
-			c.checkRecovery()
-		})
+	for _, test := range []struct {
+		size, toleratedLosses int
+		replaced              []int
+	}{
+		{
+			size:            4,
+			toleratedLosses: 1,
+			replaced:        []int{0, 3},
+		},
+		{
+			size:            5,
+			toleratedLosses: 2,
+			replaced:        []int{0, 1, 2, 0},
+		},
+		{
+			size:            8,
+			toleratedLosses: 2,
+			replaced:        []int{0, 1, 2, 7, 6},
+		},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", test.size, seed), func(t *testing.T) {
+				c := newOpenCluster(t, seed, test.size, test.toleratedLosses)
+				for _, i := range test.replaced {
+					c.replace(i, 1200*time.Millisecond)
+					c.runFor(catchUpTime)
+				}
+				c.acknowledge("after the replacements")
+				lost := c.random.Perm(test.size)[:test.toleratedLosses]
+				c.restartWithLostDisks(lost...)
+				c.checkRecovery()
+			})
+		}
+	}
+}
+
+// TestSilentVotersKeepEnoughDisks checks that instances cut off for a long time join again, and that the others never commit on too few disks meanwhile.
+func TestSilentVotersKeepEnoughDisks(t *testing.T) {
+	for _, test := range []struct {
+		size, toleratedLosses int
+	}{
+		{
+			size:            4,
+			toleratedLosses: 1,
+		},
+		{
+			size:            5,
+			toleratedLosses: 2,
+		},
+		{
+			size:            8,
+			toleratedLosses: 2,
+		},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", test.size, seed), func(t *testing.T) {
+				c := newOpenCluster(t, seed, test.size, test.toleratedLosses)
+				order := c.random.Perm(test.size)
+				cutOff := order[:test.toleratedLosses]
+				for _, i := range cutOff {
+					c.isolate(i)
+				}
+				c.runFor(2 * maxMemberSilence)
+				c.acknowledge("while some are cut off")
+				c.restartWithLostDisks(order[len(cutOff) : len(cutOff)+test.toleratedLosses]...)
+				c.checkRecovery()
+				for _, n := range c.nodes {
+					if !c.leader().machine.Members().IsVoter(n.id) {
+						c.failf("%s is no voter after its return", n.id)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestOpenMembershipUnderFaults checks the promises of the journal while silent instances are removed and join again.
+func TestOpenMembershipUnderFaults(t *testing.T) {
+	for _, size := range []int{4, 5} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
+				c := newOpenCluster(t, seed, size, 1)
+				c.unreliable = true
+				for i := range 15000 {
+					c.step()
+					if c.random.IntN(4) == 0 {
+						c.propose(c.nodes[c.random.IntN(size)], fmt.Sprint(i))
+					}
+					if c.random.IntN(700) == 0 {
+						c.injectFault()
+					}
+				}
+				c.checkRecovery()
+			})
+		}
 	}
 }
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -25,6 +25,7 @@
 	if now.Sub(m.lastRoundAt) >= m.timing.HeartbeatInterval {
 		m.sendAppends(now)
 	}
+	m.removeSilentVoter(now)
 }
 
 // isRemoved reports whether a committed membership has removed this instance as a voter.
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -246,7 +246,10 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	c.machine = journaler.New(timing, random, persisted, time.Now())
-	c.machine.OpenMembership = c.settings.Formation != nil
+	if formation := c.settings.Formation; formation != nil {
+		c.machine.OpenMembership = true
+		c.machine.ToleratedLosses = formation.ToleratedLosses
+	}
 	return nil
 }
 
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -97,8 +97,23 @@
 	check(cl.t, os.RemoveAll(cl.settings[i].DataFolder))
 }
 
+// moveTo gives a stopped instance an empty data folder and another host.
+func (cl *cluster) moveTo(i int, host string) {
+	cl.t.Helper()
+	_, port, err := net.SplitHostPort(cl.settings[i].Listen)
+	check(cl.t, err)
+	cl.settings[i].Listen = net.JoinHostPort(host, port)
+	cl.settings[i].DataFolder = filepath.Join(cl.t.TempDir(), host)
+}
+
 // awaitVoters waits until the instance has joined and every instance is a voter in its membership.
 func (cl *cluster) awaitVoters(i int) {
+	cl.t.Helper()
+	cl.awaitVoterCount(i, len(cl.controls))
+}
+
+// awaitVoterCount waits until the instance has joined and its membership has that many voters.
+func (cl *cluster) awaitVoterCount(i, want int) {
 	cl.t.Helper()
 	deadline := time.Now().Add(testTimeout)
 	for {
@@ -108,11 +123,11 @@
 				voterCount = cl.controls[i].machine.Members().VoterCount()
 			}
 		}))
-		if voterCount == len(cl.controls) {
+		if voterCount == want {
 			return
 		}
 		if time.Now().After(deadline) {
-			cl.t.Fatalf("instance %d sees %d voters, want %d\n%s", i, voterCount, len(cl.controls), cl.describe())
+			cl.t.Fatalf("instance %d sees %d voters, want %d\n%s", i, voterCount, want, cl.describe())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -204,6 +219,25 @@
 	}
 }
 
+// TestAbsentInstanceLosesItsVote checks that an instance which is replaced at another address, or is down for long, does not remain a voter, and that the latter gets its vote back.
+func TestAbsentInstanceLosesItsVote(t *testing.T) {
+	const absent = 3
+	cl := newCluster(t, 4)
+	for i := range cl.controls {
+		cl.awaitVoters(i)
+	}
+	cl.stop(absent)
+	cl.awaitVoterCount(0, len(cl.controls)-1)
+	cl.start(absent)
+	cl.awaitVoters(absent)
+
+	cl.stop(absent)
+	cl.moveTo(absent, "127.0.7.9")
+	cl.start(absent)
+	cl.awaitVoterCount(0, len(cl.controls)+1)
+	cl.awaitVoters(0)
+}
+
 // TestJoinThroughNonSeedLeader checks that an instance without a journal can join while the leader is not a seed. It learns the leader's address from the responses of the seeds.
 func TestJoinThroughNonSeedLeader(t *testing.T) {
 	const nonSeed = 3
--- a/internal/transport/controller/joiner.go
+++ b/internal/transport/controller/joiner.go
@@ -17,7 +17,7 @@
 	joinInterval = 200 * time.Millisecond
 	joinTimeout  = 500 * time.Millisecond
 	// rejoinAfter is how long a member is without contact to a leader before it requests to join again. It is longer than an election.
-	rejoinAfter = 3 * time.Second
+	rejoinAfter = time.Second
 )
 
 // joiner requests membership from the other control instances until this one is a voter. With a formation it keeps running, and requests it again after a long time without a leader.
@@ -59,7 +59,7 @@
 		if hasJoined && j.controller.settings.Formation == nil {
 			return
 		}
-		// A member that was replaced during a network partition is not told of its removal, so it requests to join again.
+		// A member that was removed during a network partition is not told of its removal, so it requests to join again.
 		if !hasJoined || time.Since(lastContact) > rejoinAfter {
 			j.requestJoin()
 		}
