--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -219,6 +219,16 @@
 	n.start()
 }
 
+// maintainMembership requests to join now and then if the instance needs to.
+func (n *node) maintainMembership() {
+	if n.machine.InContact(n.cluster.now) {
+		n.contactAt = n.cluster.now
+	}
+	if n.needsJoin() && n.cluster.random.IntN(20) == 0 {
+		n.requestJoin()
+	}
+}
+
 // needsJoin reports whether the instance has no vote yet, or may have lost it while it was out of contact.
 func (n *node) needsJoin() bool {
 	wasRemoved := !n.machine.HasJoined() || n.cluster.now.Sub(n.contactAt) > time.Second
@@ -399,12 +409,7 @@
 		if !n.isRunning() || c.now.Before(n.pausedUntil) {
 			continue
 		}
-		if n.machine.InContact(c.now) {
-			n.contactAt = c.now
-		}
-		if n.needsJoin() && c.random.IntN(20) == 0 {
-			n.requestJoin()
-		}
+		n.maintainMembership()
 		crashPoint := noCrash
 		if c.unreliable && c.random.IntN(1500) == 0 {
 			crashPoint = 1 + c.random.IntN(crashPointCount-1)
