Keep the rate limits that replicas state

Cause: the header field was passed on to callers and read by nobody.

Ruled out: limits that are read but not shared, and relayed attempts that escape them; no code named the field. Both are what the change has to avoid, and each has a test.

Change: a pacer for each replica that states a limit gives this instance a permit at even intervals, its equal share. The balancer passes over replicas without a permit; a request for which too few shards have one is refused before any is used, with the time at which enough will. The permit of a relayed attempt is the origin's, and the result of the attempt carries the limit back.

Shares by demand need talk between the instances.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/router"
 )
 
@@ -42,6 +43,8 @@
 	startTimes          []time.Time
 	consecutiveFailures int
 	backoffUntil        time.Time
+	// pacer is nil unless the replica states a rate limit.
+	pacer *limiter.Pacer
 }
 
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
@@ -50,6 +53,22 @@
 // HasFreeSlot reports whether this instance's attempts leave a slot of the replica free; without a number of slots there is no limit.
 func (r *ReplicaState) HasFreeSlot() bool { return r.Slots == 0 || r.InFlight() < r.Slots }
 
+// RateLimit returns the rate limit that the replica has stated in its last response.
+func (r *ReplicaState) RateLimit() limiter.RateLimit {
+	if r.pacer == nil {
+		return limiter.RateLimit{}
+	}
+	return r.pacer.Limit()
+}
+
+// nextSend returns when the replica's rate limit allows an attempt, which is now or earlier if it does already.
+func (r *ReplicaState) nextSend(now time.Time) time.Time {
+	if r.pacer == nil {
+		return now
+	}
+	return r.pacer.NextPermit(now)
+}
+
 // InFlight returns how many attempts are in flight.
 func (r *ReplicaState) InFlight() int { return len(r.startTimes) }
 
@@ -65,6 +84,8 @@
 	services     map[string]*serviceState
 	replicasByID map[string]*ReplicaState
 	hedgeDelays  map[string]*router.QuantileEstimator
+	// instances is the number of entry instances that share the rate limits of replicas.
+	instances int
 }
 
 // New returns a balancer without replicas for an instance in the availability zone.
@@ -75,9 +96,13 @@
 		services:     map[string]*serviceState{},
 		replicasByID: map[string]*ReplicaState{},
 		hedgeDelays:  map[string]*router.QuantileEstimator{},
+		instances:    1,
 	}
 }
 
+// SetInstances sets the number of entry instances that share the rate limits of replicas. It applies to each limit stated from now on.
+func (b *Balancer) SetInstances(count int) { b.instances = count }
+
 // Put adds a replica or updates its announced properties. Its observed state is kept unless its service or address has changed.
 func (b *Balancer) Put(replica Replica) {
 	existing, ok := b.replicasByID[replica.ID]
@@ -125,11 +150,28 @@
 	return len(s.replicas)
 }
 
+// NextSend returns when the rate limits of the service's replicas allow an attempt, which is now or earlier if one does already. It returns false if the service has no replica.
+func (b *Balancer) NextSend(now time.Time, service string) (time.Time, bool) {
+	s := b.services[service]
+	if s == nil || len(s.replicas) == 0 {
+		return time.Time{}, false
+	}
+	next := s.replicas[0].nextSend(now)
+	for _, r := range s.replicas[1:] {
+		if other := r.nextSend(now); other.Before(next) {
+			next = other
+		}
+	}
+	return next, true
+}
+
 // Load is the load that this instance puts on all replicas.
 type Load struct {
 	// AttemptsInFlight is the number of attempts in flight, and SaturatedReplicas is the number of replicas on which they occupy every slot.
 	AttemptsInFlight  int
 	SaturatedReplicas int
+	// LimitedReplicas is the number of replicas that state a rate limit.
+	LimitedReplicas int
 }
 
 // Load returns the current load.
@@ -140,11 +182,14 @@
 		if !r.HasFreeSlot() {
 			l.SaturatedReplicas++
 		}
+		if r.pacer != nil {
+			l.LimitedReplicas++
+		}
 	}
 	return l
 }
 
-// Pick returns the replica with the lowest cost, or sometimes a random one, among those for which accept returns true, or nil if there is none.
+// Pick returns the replica with the lowest cost, or sometimes a random one, among those whose rate limit allows an attempt and for which accept returns true, or nil if there is none.
 func (b *Balancer) Pick(now time.Time, service string, accept func(*ReplicaState) bool) *ReplicaState {
 	s := b.services[service]
 	if s == nil {
@@ -154,7 +199,7 @@
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
 	for _, candidate := range s.replicas {
-		if !accept(candidate) {
+		if candidate.nextSend(now).After(now) || !accept(candidate) {
 			continue
 		}
 		cost := b.cost(now, s, candidate)
@@ -214,8 +259,23 @@
 	return s.meanLatency
 }
 
+// RecordRateLimit records the rate limit that the replica states in a response, or that it states none.
+func (b *Balancer) RecordRateLimit(now time.Time, r *ReplicaState, limit limiter.RateLimit) {
+	switch {
+	case !limit.IsStated:
+		r.pacer = nil
+	case r.pacer == nil:
+		r.pacer = limiter.NewPacer(now, limit, b.instances, b.random)
+	default:
+		r.pacer.SetLimit(now, limit, b.instances)
+	}
+}
+
 // RecordStart records the start of an attempt.
 func (b *Balancer) RecordStart(now time.Time, r *ReplicaState) {
+	if r.pacer != nil {
+		r.pacer.Take(now)
+	}
 	r.startTimes = append(r.startTimes, now)
 }
 
--- a/internal/coordination/limiter/doc.go
+++ b/internal/coordination/limiter/doc.go
@@ -1,3 +1,3 @@
-// Package limiter limits the requests of tenants, the retries and hedges added to requests, and the
-// connections of entry instances to upstreams.
+// Package limiter limits the requests of tenants, the retries and hedges added to requests, the connections of
+// entry instances to upstreams, and the requests to replicas that accept only a certain rate.
 package limiter
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -93,7 +93,7 @@
 	return attempts
 }
 
-// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards have a replica or are free of congestion.
+// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards have a replica, are free of congestion and are within the rate limits of their replicas.
 func (j *Job) Start(now time.Time) []*Attempt {
 	reachable := 0
 	for _, s := range j.shards {
@@ -117,6 +117,14 @@
 		})
 		return nil
 	}
+	if wait := j.rateLimitDelay(now); wait > 0 {
+		j.setDecision(Decision{
+			Kind:       Refused,
+			Reason:     ReasonLimited,
+			RetryAfter: max(wait, retryAfterOverload),
+		})
+		return nil
+	}
 	var attempts []*Attempt
 	for i, s := range j.shards {
 		if s.skipped {
@@ -145,6 +153,18 @@
 	return admitted >= j.requiredCount()
 }
 
+// rateLimitDelay returns how long it takes until the rate limits of replicas allow enough first attempts for an answer. Sending fewer would use up permits without an answer.
+func (j *Job) rateLimitDelay(now time.Time) time.Duration {
+	var sendTimes []time.Time
+	for _, s := range j.shards {
+		if next, ok := j.policies.Balancer.NextSend(now, s.service); ok && !s.skipped {
+			sendTimes = append(sendTimes, next)
+		}
+	}
+	slices.SortFunc(sendTimes, time.Time.Compare)
+	return sendTimes[j.requiredCount()-1].Sub(now)
+}
+
 func (j *Job) traffic(service string) shedder.Traffic {
 	return shedder.Traffic{
 		Service:  service,
@@ -227,6 +247,9 @@
 func (j *Job) recordOutcome(now time.Time, a *Attempt, outcome Outcome) {
 	b := j.policies.Balancer
 	b.RecordEnd(a.Replica, a.StartedAt)
+	if outcome.HasRateLimit() {
+		b.RecordRateLimit(now, a.Replica, outcome.RateLimit)
+	}
 	elapsed := now.Sub(a.StartedAt)
 	expired := !now.Before(a.Deadline)
 	switch {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -73,10 +73,15 @@
 type Outcome struct {
 	Kind  OutcomeKind
 	Reply *Reply
+	// RateLimit is the limit that the response states, if the outcome is OutcomeReplied or OutcomeRejected.
+	RateLimit limiter.RateLimit
 	// Cause describes the failure in a few words for the log.
 	Cause string
 }
 
+// HasRateLimit reports whether the outcome tells the replica's rate limit, or that it has none.
+func (o *Outcome) HasRateLimit() bool { return o.Kind == OutcomeReplied || o.Kind == OutcomeRejected }
+
 // AttemptKind says why an attempt is made.
 type AttemptKind string
 
@@ -108,6 +113,7 @@
 	ReasonNone          Reason = ""
 	ReasonNoReplica     Reason = "no-replica"
 	ReasonCongested     Reason = "shards-congested"
+	ReasonLimited       Reason = "replicas-limited"
 	ReasonRejected      Reason = "rejected-by-replicas"
 	ReasonReplicaFailed Reason = "replica-broke-off"
 	ReasonDeadline      Reason = "deadline"
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -52,7 +52,7 @@
 	policies     *scatterer.Policies
 	advertiser   *advertiser.Advertiser
 	withdrawn    bool
-	// entryInstances is the number of entry instances that share the retry budgets.
+	// entryInstances is the number of entry instances that share the retry budgets and the rate limits of replicas.
 	entryInstances int
 
 	directory    *directory
@@ -92,6 +92,7 @@
 		CallerAllowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
 		Overrun:         &scatterer.Overrun{},
 	}
+	f.balancer.SetInstances(f.entryInstances)
 	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.meter.recordConnection)
 	f.directory = newDirectory(f)
 	f.requestLog = newRequestLogger(f.log, f.meter)
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -64,6 +64,7 @@
 	load := f.balancer.Load()
 	m.attemptsInFlight.Update(float64(load.AttemptsInFlight))
 	m.saturatedReplicas.Update(float64(load.SaturatedReplicas))
+	m.limitedReplicas.Update(float64(load.LimitedReplicas))
 	m.minRetryBudget.Update(f.minRetryBudget(now))
 }
 
--- a/internal/transport/forwarder/limits.go
+++ b/internal/transport/forwarder/limits.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// setEntryInstances sets the number of entry instances that share the retry budgets; 0 is ignored.
+// setEntryInstances sets the number of entry instances that share the retry budgets and the rate limits of replicas; 0 is ignored.
 func (f *Forwarder) setEntryInstances(count int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -73,6 +73,7 @@
 		return
 	}
 	f.entryInstances = count
+	f.balancer.SetInstances(count)
 	f.updateRetryLimits()
 }
 
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -59,6 +59,7 @@
 	incomingRelays       tally.Gauge
 	attemptsInFlight     tally.Gauge
 	saturatedReplicas    tally.Gauge
+	limitedReplicas      tally.Gauge
 }
 
 func newMeter() *meter {
@@ -90,6 +91,7 @@
 		incomingRelays:       s.Gauge("peer_calls_carried"),
 		attemptsInFlight:     s.Gauge("attempts_in_flight"),
 		saturatedReplicas:    s.Gauge("replicas_with_full_slots"),
+		limitedReplicas:      s.Gauge("replicas_limited"),
 	}
 }
 
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -176,7 +177,11 @@
 
 func outcomeFromPart(part *wire.RelayPart) scatterer.Outcome {
 	outcome := scatterer.Outcome{
-		Kind:  scatterer.OutcomeKind(part.GetOutcome()),
+		Kind: scatterer.OutcomeKind(part.GetOutcome()),
+		RateLimit: limiter.RateLimit{
+			IsStated:  part.RateLimit != nil,
+			PerSecond: part.GetRateLimit(),
+		},
 		Cause: part.GetCause(),
 	}
 	if outcome.Kind == scatterer.OutcomeReplied {
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -7,6 +7,8 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -129,11 +131,15 @@
 func (a *incomingAttempt) run() {
 	r := a.relay
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
+	r.forwarder.recordRateLimit(a.target.Replica, &outcome)
 	part := &wire.RelayPart{
 		Number:  a.number,
 		Outcome: uint32(outcome.Kind),
 		Cause:   outcome.Cause,
 	}
+	if outcome.RateLimit.IsStated {
+		part.RateLimit = &outcome.RateLimit.PerSecond
+	}
 	if outcome.Reply != nil {
 		part.Status = uint32(outcome.Reply.Status)
 		part.Stamp = outcome.Reply.Stamp
@@ -146,6 +152,29 @@
 	r.parts <- part
 }
 
+// recordRateLimit records the rate limit that a replica has stated to an attempt of a peer.
+func (f *Forwarder) recordRateLimit(replica string, outcome *scatterer.Outcome) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	r := f.balancer.Find(replica)
+	if r == nil || !outcome.HasRateLimit() {
+		return
+	}
+	before := r.RateLimit()
+	f.balancer.RecordRateLimit(time.Now(), r, outcome.RateLimit)
+	f.logRateLimit(r, before)
+}
+
+// logRateLimit logs the rate limit of a replica if it differs from the one before; the mutex must be held.
+func (f *Forwarder) logRateLimit(r *balancer.ReplicaState, before limiter.RateLimit) {
+	limit := r.RateLimit()
+	if limit == before {
+		return
+	}
+	f.log.Info("replica rate limit changed", "replica", r.ID, "service", r.Service, "limited", limit.IsStated, "per-second", limit.PerSecond,
+		"limited-before", before.IsStated, "per-second-before", before.PerSecond, "instances", f.entryInstances)
+}
+
 // findTarget returns the target of a replica that this instance knows.
 func (f *Forwarder) findTarget(id string) (exchanger.Target, bool) {
 	f.mutex.Lock()
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
@@ -21,7 +22,11 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-const relayShards = 4
+const (
+	relayShards = 4
+	// testRateLimit is the limit, in requests per second, of replicas that state one.
+	testRateLimit = 0.5
+)
 
 // testCodec decodes each response as a success signed by its replica.
 type testCodec struct{}
@@ -48,6 +53,10 @@
 			Stamp:  response.Header.Get("Stamp"),
 			Body:   body,
 		},
+		RateLimit: limiter.RateLimit{
+			IsStated:  response.Header.Get("Limit") != "",
+			PerSecond: testRateLimit,
+		},
 	}, true
 }
 
@@ -88,7 +97,9 @@
 type relayFixture struct {
 	near, far       *Forwarder
 	replicaRequests atomic.Int64
-	route           *matcher.Route
+	// isLimited is set if the replicas state a rate limit.
+	isLimited atomic.Bool
+	route     *matcher.Route
 }
 
 func newRelayFixture(t *testing.T) *relayFixture {
@@ -124,6 +135,9 @@
 			t.Errorf("replica %s received %s %v", id, r.RequestURI, r.Header)
 		}
 		w.Header().Set("Stamp", id)
+		if rf.isLimited.Load() {
+			w.Header().Set("Limit", "yes")
+		}
 		fmt.Fprintf(w, "%-16s%-16s%-16s", "c"+id, "a"+id, "b"+id)
 	}))
 	t.Cleanup(server.Close)
@@ -208,6 +222,33 @@
 	}
 }
 
+// TestRelayedRateLimit checks that a rate limit stated to a relayed attempt applies at the origin and at the peer, and that requests are refused without being sent once both replicas of a shard are at their limit.
+func TestRelayedRateLimit(t *testing.T) {
+	rf := newRelayFixture(t)
+	rf.disableRepeats()
+	rf.isLimited.Store(true)
+	rf.requireCompleteAnswer(t)
+	rf.requireCompleteAnswer(t)
+	sent := rf.replicaRequests.Load()
+	d := rf.serve(t)
+	if d.Kind != scatterer.Refused || d.Reason != scatterer.ReasonLimited || d.RetryAfter < 100*time.Millisecond {
+		t.Errorf("decision %+v, want a refusal because of the limits", d)
+	}
+	if got := rf.replicaRequests.Load(); got != sent {
+		t.Errorf("%d requests beyond the limits", got-sent)
+	}
+	for _, f := range []*Forwarder{rf.near, rf.far} {
+		f.mutex.Lock()
+		for i := range relayShards {
+			id := fmt.Sprintf("shard-%d-0", i)
+			if limit := f.balancer.Find(id).RateLimit(); !limit.IsStated || limit.PerSecond != testRateLimit {
+				t.Errorf("%s keeps limit %+v for %s", f.settings.Instance, limit, id)
+			}
+		}
+		f.mutex.Unlock()
+	}
+}
+
 // TestUnhealthyPeer checks that a query gets a complete answer if its peer is unreachable, hangs, is stopping or knows no replica, and that the peer is skipped afterwards, except for one that responds but knows no replica.
 func TestUnhealthyPeer(t *testing.T) {
 	hanging, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -243,5 +243,8 @@
 // handleOutcome handles the outcome of an attempt and returns the attempts to send next; the mutex must be held.
 func (r *activeRequest) handleOutcome(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) []*scatterer.Attempt {
 	r.recordOutcome(now, a, outcome)
-	return r.job.HandleOutcome(now, a, outcome)
+	before := a.Replica.RateLimit()
+	attempts := r.job.HandleOutcome(now, a, outcome)
+	r.forwarder.logRateLimit(a.Replica, before)
+	return attempts
 }
