Group what a response says of its replica as a notice

The rate limit travels as a field of balancer.Notice from the codec to the balancer and between entry instances, so that other statements of replicas can join it. The target of an attempt is taken while the mutex is held.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -53,22 +53,6 @@
 // HasFreeSlot reports whether this instance's attempts leave a slot of the replica free; without a number of slots there is no limit.
 func (r *ReplicaState) HasFreeSlot() bool { return r.Slots == 0 || r.InFlight() < r.Slots }
 
-// RateLimit returns the rate limit that the replica has stated in its last response.
-func (r *ReplicaState) RateLimit() limiter.RateLimit {
-	if r.pacer == nil {
-		return limiter.RateLimit{}
-	}
-	return r.pacer.Limit()
-}
-
-// nextSend returns when the replica's rate limit allows an attempt, which is now or earlier if it does already.
-func (r *ReplicaState) nextSend(now time.Time) time.Time {
-	if r.pacer == nil {
-		return now
-	}
-	return r.pacer.NextPermit(now)
-}
-
 // InFlight returns how many attempts are in flight.
 func (r *ReplicaState) InFlight() int { return len(r.startTimes) }
 
@@ -259,18 +243,6 @@
 	return s.meanLatency
 }
 
-// RecordRateLimit records the rate limit that the replica states in a response, or that it states none.
-func (b *Balancer) RecordRateLimit(now time.Time, r *ReplicaState, limit limiter.RateLimit) {
-	switch {
-	case !limit.IsStated:
-		r.pacer = nil
-	case r.pacer == nil:
-		r.pacer = limiter.NewPacer(now, limit, b.instances, b.random)
-	default:
-		r.pacer.SetLimit(now, limit, b.instances)
-	}
-}
-
 // RecordStart records the start of an attempt.
 func (b *Balancer) RecordStart(now time.Time, r *ReplicaState) {
 	if r.pacer != nil {
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -247,8 +247,8 @@
 func (j *Job) recordOutcome(now time.Time, a *Attempt, outcome Outcome) {
 	b := j.policies.Balancer
 	b.RecordEnd(a.Replica, a.StartedAt)
-	if outcome.HasRateLimit() {
-		b.RecordRateLimit(now, a.Replica, outcome.RateLimit)
+	if outcome.Notice != nil {
+		b.RecordNotice(now, a.Replica, *outcome.Notice)
 	}
 	elapsed := now.Sub(a.StartedAt)
 	expired := !now.Before(a.Deadline)
--- a/internal/coordination/scatterer/limit_test.go
+++ b/internal/coordination/scatterer/limit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 )
@@ -11,9 +12,11 @@
 // limited returns a successful outcome that states a limit of so many requests a second.
 func limited(perSecond float64) Outcome {
 	outcome := replied(200)
-	outcome.RateLimit = limiter.RateLimit{
-		IsStated:  true,
-		PerSecond: perSecond,
+	outcome.Notice = &balancer.Notice{
+		RateLimit: limiter.RateLimit{
+			IsStated:  true,
+			PerSecond: perSecond,
+		},
 	}
 	return outcome
 }
@@ -21,7 +24,7 @@
 // exhaust states a limit of one request in two seconds for the replica and uses up its next permit.
 func exhaust(p *Policies, replica string) {
 	r := p.Balancer.Find(replica)
-	p.Balancer.RecordRateLimit(start, r, limited(0.5).RateLimit)
+	p.Balancer.RecordNotice(start, r, *limited(0.5).Notice)
 	p.Balancer.RecordStart(start, r)
 }
 
@@ -39,7 +42,7 @@
 	const perSecond = 2
 	p := newPolicies(10, "one")
 	replica := p.Balancer.Find("one-a")
-	p.Balancer.RecordRateLimit(start, replica, limited(perSecond).RateLimit)
+	p.Balancer.RecordNotice(start, replica, *limited(perSecond).Notice)
 	limitedAttempts := 0
 	for ms := range 10_000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
@@ -49,6 +52,7 @@
 			t.Fatalf("%d attempts, decision %+v", len(sent), j.Decision())
 		}
 		outcome := replied(200)
+		outcome.Notice = &balancer.Notice{}
 		if sent[0].Replica == replica {
 			limitedAttempts++
 			outcome = limited(perSecond)
@@ -58,8 +62,8 @@
 	if limitedAttempts < 18 || limitedAttempts > 22 {
 		t.Errorf("the limited replica got %d attempts in 10 s, want 20", limitedAttempts)
 	}
-	p.Balancer.RecordRateLimit(start.Add(10*time.Second), replica, replied(200).RateLimit)
-	if replica.RateLimit().IsStated {
+	p.Balancer.RecordNotice(start.Add(10*time.Second), replica, balancer.Notice{})
+	if replica.Notice().RateLimit.IsStated {
 		t.Error("limit still in force after a response without one")
 	}
 }
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -73,15 +73,12 @@
 type Outcome struct {
 	Kind  OutcomeKind
 	Reply *Reply
-	// RateLimit is the limit that the response states, if the outcome is OutcomeReplied or OutcomeRejected.
-	RateLimit limiter.RateLimit
+	// Notice is what the replica says of itself, or nil if it has not responded.
+	Notice *balancer.Notice
 	// Cause describes the failure in a few words for the log.
 	Cause string
 }
 
-// HasRateLimit reports whether the outcome tells the replica's rate limit, or that it has none.
-func (o *Outcome) HasRateLimit() bool { return o.Kind == OutcomeReplied || o.Kind == OutcomeRejected }
-
 // AttemptKind says why an attempt is made.
 type AttemptKind string
 
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -9,7 +9,6 @@
 
 	"connectrpc.com/connect"
 
-	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -177,12 +176,9 @@
 
 func outcomeFromPart(part *wire.RelayPart) scatterer.Outcome {
 	outcome := scatterer.Outcome{
-		Kind: scatterer.OutcomeKind(part.GetOutcome()),
-		RateLimit: limiter.RateLimit{
-			IsStated:  part.RateLimit != nil,
-			PerSecond: part.GetRateLimit(),
-		},
-		Cause: part.GetCause(),
+		Kind:   scatterer.OutcomeKind(part.GetOutcome()),
+		Notice: noticeFromWire(part.GetNotice()),
+		Cause:  part.GetCause(),
 	}
 	if outcome.Kind == scatterer.OutcomeReplied {
 		outcome.Reply = &scatterer.Reply{
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
-	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -54,8 +53,8 @@
 
 func (r *incomingRelay) start(items []*wire.RelayItem) {
 	for _, item := range items {
-		target, ok := r.forwarder.findTarget(item.GetReplica())
-		if !ok {
+		replica, target := r.forwarder.findReplica(item.GetReplica())
+		if replica == nil {
 			r.parts <- &wire.RelayPart{
 				Number:  item.GetNumber(),
 				Outcome: uint32(scatterer.OutcomeUnsent),
@@ -68,6 +67,7 @@
 		attempt := &incomingAttempt{
 			relay:    r,
 			number:   item.GetNumber(),
+			replica:  replica,
 			target:   target,
 			exchange: exchange,
 		}
@@ -124,6 +124,7 @@
 type incomingAttempt struct {
 	relay    *incomingRelay
 	number   uint32
+	replica  *balancer.ReplicaState
 	target   exchanger.Target
 	exchange *exchanger.Exchange
 }
@@ -131,14 +132,12 @@
 func (a *incomingAttempt) run() {
 	r := a.relay
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
-	r.forwarder.recordRateLimit(a.target.Replica, &outcome)
+	r.forwarder.recordNotice(a.replica, outcome.Notice)
 	part := &wire.RelayPart{
 		Number:  a.number,
 		Outcome: uint32(outcome.Kind),
 		Cause:   outcome.Cause,
-	}
-	if outcome.RateLimit.IsStated {
-		part.RateLimit = &outcome.RateLimit.PerSecond
+		Notice:  noticeToWire(outcome.Notice),
 	}
 	if outcome.Reply != nil {
 		part.Status = uint32(outcome.Reply.Status)
@@ -152,41 +151,13 @@
 	r.parts <- part
 }
 
-// recordRateLimit records the rate limit that a replica has stated to an attempt of a peer.
-func (f *Forwarder) recordRateLimit(replica string, outcome *scatterer.Outcome) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	r := f.balancer.Find(replica)
-	if r == nil || !outcome.HasRateLimit() {
-		return
-	}
-	before := r.RateLimit()
-	f.balancer.RecordRateLimit(time.Now(), r, outcome.RateLimit)
-	f.logRateLimit(r, before)
-}
-
-// logRateLimit logs the rate limit of a replica if it differs from the one before; the mutex must be held.
-func (f *Forwarder) logRateLimit(r *balancer.ReplicaState, before limiter.RateLimit) {
-	limit := r.RateLimit()
-	if limit == before {
-		return
-	}
-	f.log.Info("replica rate limit changed", "replica", r.ID, "service", r.Service, "limited", limit.IsStated, "per-second", limit.PerSecond,
-		"limited-before", before.IsStated, "per-second-before", before.PerSecond, "instances", f.entryInstances)
-}
-
-// findTarget returns the target of a replica that this instance knows.
-func (f *Forwarder) findTarget(id string) (exchanger.Target, bool) {
+// findReplica returns the replica with the ID and how to reach it, or nil if this instance does not know it.
+func (f *Forwarder) findReplica(id string) (*balancer.ReplicaState, exchanger.Target) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	replica := f.balancer.Find(id)
 	if replica == nil {
-		return exchanger.Target{}, false
+		return nil, exchanger.Target{}
 	}
-	return exchanger.Target{
-		Replica: replica.ID,
-		Service: replica.Service,
-		Address: replica.Address,
-		Zone:    replica.Zone,
-	}, true
+	return replica, targetOf(replica)
 }
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -53,9 +53,11 @@
 			Stamp:  response.Header.Get("Stamp"),
 			Body:   body,
 		},
-		RateLimit: limiter.RateLimit{
-			IsStated:  response.Header.Get("Limit") != "",
-			PerSecond: testRateLimit,
+		Notice: &balancer.Notice{
+			RateLimit: limiter.RateLimit{
+				IsStated:  response.Header.Get("Limit") != "",
+				PerSecond: testRateLimit,
+			},
 		},
 	}, true
 }
@@ -241,7 +243,7 @@
 		f.mutex.Lock()
 		for i := range relayShards {
 			id := fmt.Sprintf("shard-%d-0", i)
-			if limit := f.balancer.Find(id).RateLimit(); !limit.IsStated || limit.PerSecond != testRateLimit {
+			if limit := f.balancer.Find(id).Notice().RateLimit; !limit.IsStated || limit.PerSecond != testRateLimit {
 				t.Errorf("%s keeps limit %+v for %s", f.settings.Instance, limit, id)
 			}
 		}
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -116,6 +116,7 @@
 		direct := &directAttempt{
 			owner:    r,
 			attempt:  a,
+			target:   targetOf(a.Replica),
 			exchange: exchange,
 		}
 		go direct.run()
@@ -221,19 +222,14 @@
 type directAttempt struct {
 	owner    *activeRequest
 	attempt  *scatterer.Attempt
+	target   exchanger.Target
 	exchange *exchanger.Exchange
 }
 
 func (a *directAttempt) run() {
 	r := a.owner
 	f := r.forwarder
-	target := exchanger.Target{
-		Replica: a.attempt.Replica.ID,
-		Service: a.attempt.Service,
-		Address: a.attempt.Replica.Address,
-		Zone:    a.attempt.Replica.Zone,
-	}
-	outcome := f.exchanger.Do(a.exchange, r.call, target, a.attempt.Deadline)
+	outcome := f.exchanger.Do(a.exchange, r.call, a.target, a.attempt.Deadline)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
@@ -243,8 +239,8 @@
 // handleOutcome handles the outcome of an attempt and returns the attempts to send next; the mutex must be held.
 func (r *activeRequest) handleOutcome(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) []*scatterer.Attempt {
 	r.recordOutcome(now, a, outcome)
-	before := a.Replica.RateLimit()
+	before := a.Replica.Notice()
 	attempts := r.job.HandleOutcome(now, a, outcome)
-	r.forwarder.logRateLimit(a.Replica, before)
+	r.forwarder.logNotice(a.Replica, before)
 	return attempts
 }
