Send nothing to replicas that say in their responses that they leave

Cause: only heartbeats were taken for news of a replica.

Change: from the first such response on the replica is a last resort, and 2 s later it gets nothing more in this incarnation. A peer that was told does not relay to it, and passes the statement on to the instance that asked. Observed state starts anew with each incarnation, told by its start time, also if ID and address stay the same.

Ruled out: telling control. The rule is for each instance by itself, and the replica's own heartbeat does that where control can be reached.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -31,6 +31,8 @@
 	Address string
 	Zone    string
 	Slots   int
+	// BornMs is when the replica started, in milliseconds since the Unix epoch; it differs between incarnations of one ID.
+	BornMs int64
 	// Lost is set if no control instance is in contact with the replica; it is a last resort.
 	Lost bool
 }
@@ -45,6 +47,8 @@
 	backoffUntil        time.Time
 	// pacer is nil unless the replica states a rate limit.
 	pacer *limiter.Pacer
+	// leavingSince is when the replica first stated that it is leaving; zero if it has not.
+	leavingSince time.Time
 }
 
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
@@ -87,10 +91,10 @@
 // SetInstances sets the number of entry instances that share the rate limits of replicas. It applies to each limit stated from now on.
 func (b *Balancer) SetInstances(count int) { b.instances = count }
 
-// Put adds a replica or updates its announced properties. Its observed state is kept unless its service or address has changed.
+// Put adds a replica or updates its announced properties. Its observed state is kept unless its incarnation, service or address has changed.
 func (b *Balancer) Put(replica Replica) {
 	existing, ok := b.replicasByID[replica.ID]
-	if ok && existing.Service == replica.Service && existing.Address == replica.Address {
+	if ok && existing.BornMs == replica.BornMs && existing.Service == replica.Service && existing.Address == replica.Address {
 		existing.Replica = replica
 		return
 	}
@@ -125,28 +129,38 @@
 // Find returns the replica with the ID, or nil.
 func (b *Balancer) Find(id string) *ReplicaState { return b.replicasByID[id] }
 
-// ReplicaCount returns how many replicas the service has.
-func (b *Balancer) ReplicaCount(service string) int {
+// ReplicaCount returns how many replicas the service has, except those that have left.
+func (b *Balancer) ReplicaCount(now time.Time, service string) int {
 	s := b.services[service]
 	if s == nil {
 		return 0
 	}
-	return len(s.replicas)
+	count := 0
+	for _, r := range s.replicas {
+		if !r.hasLeft(now) {
+			count++
+		}
+	}
+	return count
 }
 
-// NextSend returns when the rate limits of the service's replicas allow an attempt, which is now or earlier if one does already. It returns false if the service has no replica.
+// NextSend returns when a replica of the service accepts an attempt, which is now or earlier if one does already. It returns false if the service has no replica, or only such that have left.
 func (b *Balancer) NextSend(now time.Time, service string) (time.Time, bool) {
 	s := b.services[service]
-	if s == nil || len(s.replicas) == 0 {
+	if s == nil {
 		return time.Time{}, false
 	}
-	next := s.replicas[0].nextSend(now)
-	for _, r := range s.replicas[1:] {
-		if other := r.nextSend(now); other.Before(next) {
-			next = other
+	var next time.Time
+	found := false
+	for _, r := range s.replicas {
+		if r.hasLeft(now) {
+			continue
+		}
+		if candidate := r.nextSend(now); !found || candidate.Before(next) {
+			next, found = candidate, true
 		}
 	}
-	return next, true
+	return next, found
 }
 
 // Load is the load that this instance puts on all replicas.
@@ -173,7 +187,7 @@
 	return l
 }
 
-// Pick returns the replica with the lowest cost, or sometimes a random one, among those whose rate limit allows an attempt and for which accept returns true, or nil if there is none.
+// Pick returns the replica with the lowest cost, or sometimes a random one, among those that accept an attempt now and for which accept returns true, or nil if there is none.
 func (b *Balancer) Pick(now time.Time, service string, accept func(*ReplicaState) bool) *ReplicaState {
 	s := b.services[service]
 	if s == nil {
@@ -183,11 +197,11 @@
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
 	for _, candidate := range s.replicas {
-		if candidate.nextSend(now).After(now) || !accept(candidate) {
+		if candidate.hasLeft(now) || candidate.nextSend(now).After(now) || !accept(candidate) {
 			continue
 		}
 		cost := b.cost(now, s, candidate)
-		if explore && !candidate.isBackingOff(now) && !candidate.Lost {
+		if explore && !candidate.isBackingOff(now) && !candidate.isLastResort() {
 			cost = time.Duration(b.random.Int64N(int64(time.Millisecond)))
 		}
 		if best == nil || cost < bestCost {
@@ -217,13 +231,16 @@
 	if r.isBackingOff(now) {
 		cost += maxBackoff
 	}
-	if r.Lost {
+	if r.isLastResort() {
 		cost += 2 * maxBackoff
 	}
 	// Random jitter breaks ties, so that instances do not all pick the same replica.
 	return cost + time.Duration(b.random.Int64N(int64(time.Millisecond)/4))
 }
 
+// isLastResort reports whether the replica may stop at any moment or has stopped already.
+func (r *ReplicaState) isLastResort() bool { return r.Lost || !r.leavingSince.IsZero() }
+
 func (r *ReplicaState) oldestAttemptAge(now time.Time) time.Duration {
 	if len(r.startTimes) == 0 {
 		return 0
--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -10,10 +10,18 @@
 type Notice struct {
 	// RateLimit is the limit for the requests of all entry instances together.
 	RateLimit limiter.RateLimit
+	// IsLeaving is set if the replica is about to stop.
+	IsLeaving bool
 }
 
-// RecordNotice records what the replica says of itself in its latest response.
+// leavingGrace is how long a replica that is leaving remains a last resort. It accepts work for a few seconds.
+const leavingGrace = 2 * time.Second
+
+// RecordNotice records what the replica says of itself in its latest response. A replica that has said that it is leaving does not come back in this incarnation.
 func (b *Balancer) RecordNotice(now time.Time, r *ReplicaState, notice Notice) {
+	if notice.IsLeaving && r.leavingSince.IsZero() {
+		r.leavingSince = now
+	}
 	switch {
 	case !notice.RateLimit.IsStated:
 		r.pacer = nil
@@ -26,13 +34,23 @@
 
 // Notice returns what the replica has said of itself.
 func (r *ReplicaState) Notice() Notice {
-	var notice Notice
+	notice := Notice{
+		IsLeaving: !r.leavingSince.IsZero(),
+	}
 	if r.pacer != nil {
 		notice.RateLimit = r.pacer.Limit()
 	}
 	return notice
 }
 
+// Accepts reports whether the replica accepts requests from this instance, within its rate limit.
+func (r *ReplicaState) Accepts(now time.Time) bool { return !r.hasLeft(now) }
+
+// hasLeft reports whether the replica has been leaving for so long that it accepts no work.
+func (r *ReplicaState) hasLeft(now time.Time) bool {
+	return !r.leavingSince.IsZero() && now.Sub(r.leavingSince) >= leavingGrace
+}
+
 // nextSend returns when the replica accepts an attempt, which is now or earlier if it does already.
 func (r *ReplicaState) nextSend(now time.Time) time.Time {
 	if r.pacer == nil {
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -97,7 +97,7 @@
 func (j *Job) Start(now time.Time) []*Attempt {
 	reachable := 0
 	for _, s := range j.shards {
-		if j.policies.Balancer.ReplicaCount(s.service) > 0 {
+		if j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
 			reachable++
 		}
 	}
@@ -146,7 +146,7 @@
 	admitted := 0
 	for _, s := range j.shards {
 		s.skipped = !j.policies.Shedder.Admit(now, j.traffic(s.service))
-		if !s.skipped && j.policies.Balancer.ReplicaCount(s.service) > 0 {
+		if !s.skipped && j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
 			admitted++
 		}
 	}
@@ -255,7 +255,7 @@
 	switch {
 	case outcome.Kind == OutcomeReplied && outcome.Reply.IsSuccess():
 		b.RecordSuccess(a.Replica, j.class, elapsed)
-	case outcome.Cause == CausePeerFailed:
+	case outcome.Cause == CausePeerFailed, outcome.Cause == CauseNotAccepting:
 	case outcome.Cause == CauseCancelled, expired && outcome.Kind != OutcomeBroken:
 		if outcome.Kind != OutcomeUnsent {
 			b.RecordMinLatency(a.Replica, elapsed)
@@ -277,6 +277,9 @@
 // CausePeerFailed is the cause of an attempt that a peer entry instance did not relay or returned no result for, because the call failed or the peer does not know the replica. It does not count against the replica.
 const CausePeerFailed = "peer"
 
+// CauseNotAccepting is the cause of an attempt that a peer entry instance did not relay because the replica accepts no requests from it. It does not count against the replica.
+const CauseNotAccepting = "not-accepting"
+
 // MinAdmittedShare returns the smallest admitted share among the request's services.
 func (j *Job) MinAdmittedShare(now time.Time) float64 {
 	minShare := 1.0
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -304,6 +304,7 @@
 			Address: record.GetAddress(),
 			Zone:    record.GetZone(),
 			Slots:   int(record.GetSlots()),
+			BornMs:  record.GetBornMs(),
 			Lost:    record.GetState() == wire.ReplicaState_REPLICA_STATE_LOST,
 		})
 	default:
--- a/internal/transport/forwarder/notices.go
+++ b/internal/transport/forwarder/notices.go
@@ -21,9 +21,24 @@
 	f.logNotice(r, before)
 }
 
+// refusalNotice returns what the replica has said of itself if it accepts no requests from this instance, and nil if it does.
+func (f *Forwarder) refusalNotice(r *balancer.ReplicaState) *balancer.Notice {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if r.Accepts(time.Now()) {
+		return nil
+	}
+	notice := r.Notice()
+	return &notice
+}
+
 // logNotice logs what a replica says of itself if it differs from what it said before; the mutex must be held.
 func (f *Forwarder) logNotice(r *balancer.ReplicaState, before balancer.Notice) {
-	limit, limitBefore := r.Notice().RateLimit, before.RateLimit
+	notice := r.Notice()
+	if notice.IsLeaving && !before.IsLeaving {
+		f.log.Info("replica is leaving", "replica", r.ID, "service", r.Service, "address", r.Address)
+	}
+	limit, limitBefore := notice.RateLimit, before.RateLimit
 	if limit != limitBefore {
 		f.log.Info("replica rate limit changed", "replica", r.ID, "service", r.Service, "limited", limit.IsStated, "per-second", limit.PerSecond,
 			"limited-before", limitBefore.IsStated, "per-second-before", limitBefore.PerSecond, "instances", f.entryInstances)
@@ -44,7 +59,9 @@
 	if notice == nil {
 		return nil
 	}
-	message := &wire.ReplicaNotice{}
+	message := &wire.ReplicaNotice{
+		Leaving: notice.IsLeaving,
+	}
 	if notice.RateLimit.IsStated {
 		message.RateLimit = &notice.RateLimit.PerSecond
 	}
@@ -60,5 +77,6 @@
 			IsStated:  message.RateLimit != nil,
 			PerSecond: message.GetRateLimit(),
 		},
+		IsLeaving: message.GetLeaving(),
 	}
 }
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -62,6 +62,15 @@
 			}
 			continue
 		}
+		if notice := r.forwarder.refusalNotice(replica); notice != nil {
+			r.parts <- &wire.RelayPart{
+				Number:  item.GetNumber(),
+				Outcome: uint32(scatterer.OutcomeUnsent),
+				Cause:   scatterer.CauseNotAccepting,
+				Notice:  noticeToWire(notice),
+			}
+			continue
+		}
 		exchange := exchanger.NewExchange(r.deadline.Add(deadlineSlack))
 		r.exchanges = append(r.exchanges, exchange)
 		attempt := &incomingAttempt{
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -58,6 +59,7 @@
 				IsStated:  response.Header.Get("Limit") != "",
 				PerSecond: testRateLimit,
 			},
+			IsLeaving: response.Header.Get("Leaving") != "",
 		},
 	}, true
 }
@@ -99,14 +101,19 @@
 type relayFixture struct {
 	near, far       *Forwarder
 	replicaRequests atomic.Int64
-	// isLimited is set if the replicas state a rate limit.
+	mutex           sync.Mutex
+	requestsByID    map[string]int
+	// isLimited and isLeaving are set if the replicas state a rate limit, or that they are leaving.
 	isLimited atomic.Bool
+	isLeaving atomic.Bool
 	route     *matcher.Route
 }
 
 func newRelayFixture(t *testing.T) *relayFixture {
 	t.Helper()
 	rf := &relayFixture{
+		requestsByID: map[string]int{},
+
 		near: newTestForwarder(t, "near", "a"),
 		far:  newTestForwarder(t, "far", "b"),
 		route: &matcher.Route{
@@ -133,6 +140,7 @@
 func (rf *relayFixture) addReplica(t *testing.T, service, id string) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		rf.replicaRequests.Add(1)
+		rf.countRequest(id)
 		if r.Header.Get("Replica") != id || r.Header.Get("Kept") != "yes" || r.RequestURI != "/all/1?q" {
 			t.Errorf("replica %s received %s %v", id, r.RequestURI, r.Header)
 		}
@@ -140,6 +148,9 @@
 		if rf.isLimited.Load() {
 			w.Header().Set("Limit", "yes")
 		}
+		if rf.isLeaving.Load() {
+			w.Header().Set("Leaving", "yes")
+		}
 		fmt.Fprintf(w, "%-16s%-16s%-16s", "c"+id, "a"+id, "b"+id)
 	}))
 	t.Cleanup(server.Close)
@@ -154,6 +165,26 @@
 	}
 }
 
+// noticeOf returns what the replica has said of itself to this instance.
+func (f *Forwarder) noticeOf(id string) balancer.Notice {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.balancer.Find(id).Notice()
+}
+
+func (rf *relayFixture) countRequest(id string) {
+	rf.mutex.Lock()
+	defer rf.mutex.Unlock()
+	rf.requestsByID[id]++
+}
+
+// requestCount returns how many requests the replica has received.
+func (rf *relayFixture) requestCount(id string) int {
+	rf.mutex.Lock()
+	defer rf.mutex.Unlock()
+	return rf.requestsByID[id]
+}
+
 // setPeer sets the address of the peer at the near instance.
 func (rf *relayFixture) setPeer(address string) {
 	rf.near.peers.update([]*wire.EntryInstance{{
@@ -240,14 +271,35 @@
 		t.Errorf("%d requests beyond the limits", got-sent)
 	}
 	for _, f := range []*Forwarder{rf.near, rf.far} {
-		f.mutex.Lock()
 		for i := range relayShards {
 			id := fmt.Sprintf("shard-%d-0", i)
-			if limit := f.balancer.Find(id).Notice().RateLimit; !limit.IsStated || limit.PerSecond != testRateLimit {
+			if limit := f.noticeOf(id).RateLimit; !limit.IsStated || limit.PerSecond != testRateLimit {
 				t.Errorf("%s keeps limit %+v for %s", f.settings.Instance, limit, id)
 			}
 		}
-		f.mutex.Unlock()
+	}
+}
+
+// TestRelayedLeavingReplica checks that a replica which has told a peer that it is leaving gets no more attempts from that peer, and that the instance which asked the peer learns of it.
+func TestRelayedLeavingReplica(t *testing.T) {
+	rf := newRelayFixture(t)
+	rf.disableRepeats()
+	r, _ := rf.far.findReplica("shard-0-0")
+	leaving := balancer.Notice{
+		IsLeaving: true,
+	}
+	rf.far.mutex.Lock()
+	rf.far.balancer.RecordNotice(time.Now().Add(-time.Minute), r, leaving)
+	rf.far.mutex.Unlock()
+	deadline := time.Now().Add(5 * time.Second)
+	for !rf.near.noticeOf("shard-0-0").IsLeaving {
+		if time.Now().After(deadline) {
+			t.Fatal("the origin does not learn that the replica is leaving")
+		}
+		rf.serve(t)
+	}
+	if got := rf.requestCount("shard-0-0"); got != 0 {
+		t.Errorf("%d requests reached the replica", got)
 	}
 }
 
