Send nothing to replicas before the end of a pause they ask for

Callers were told to come back after 0.1 s, when nothing else was left, though the replica had said when.

Cause: only the rejection was used; the backoff that follows it is 0.1 s at first, and none where no other replica is left.

Change: the replica accepts nothing from this instance until the time has passed; first attempts, retries, hedges and attempts relayed for others alike. A request for which too few shards have a replica that accepts is refused at once, and callers are told when that ends, also those whose own request was rejected.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -49,6 +49,8 @@
 	pacer *limiter.Pacer
 	// leavingSince is when the replica first stated that it is leaving; zero if it has not.
 	leavingSince time.Time
+	// pausedUntil is when the pause ends that the replica has asked for.
+	pausedUntil time.Time
 }
 
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -12,6 +12,8 @@
 	RateLimit limiter.RateLimit
 	// IsLeaving is set if the replica is about to stop.
 	IsLeaving bool
+	// RetryAfter is how long the replica accepts no request from this instance, after it has rejected one.
+	RetryAfter time.Duration
 }
 
 // leavingGrace is how long a replica that is leaving remains a last resort. It accepts work for a few seconds.
@@ -22,6 +24,9 @@
 	if notice.IsLeaving && r.leavingSince.IsZero() {
 		r.leavingSince = now
 	}
+	if until := now.Add(notice.RetryAfter); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
 	switch {
 	case !notice.RateLimit.IsStated:
 		r.pacer = nil
@@ -32,10 +37,11 @@
 	}
 }
 
-// Notice returns what the replica has said of itself.
-func (r *ReplicaState) Notice() Notice {
+// Notice returns what the replica has said of itself, with what is left of a pause.
+func (r *ReplicaState) Notice(now time.Time) Notice {
 	notice := Notice{
-		IsLeaving: !r.leavingSince.IsZero(),
+		IsLeaving:  !r.leavingSince.IsZero(),
+		RetryAfter: max(0, r.pausedUntil.Sub(now)),
 	}
 	if r.pacer != nil {
 		notice.RateLimit = r.pacer.Limit()
@@ -44,7 +50,9 @@
 }
 
 // Accepts reports whether the replica accepts requests from this instance, within its rate limit.
-func (r *ReplicaState) Accepts(now time.Time) bool { return !r.hasLeft(now) }
+func (r *ReplicaState) Accepts(now time.Time) bool {
+	return !r.hasLeft(now) && !now.Before(r.pausedUntil)
+}
 
 // hasLeft reports whether the replica has been leaving for so long that it accepts no work.
 func (r *ReplicaState) hasLeft(now time.Time) bool {
@@ -54,7 +62,10 @@
 // nextSend returns when the replica accepts an attempt, which is now or earlier if it does already.
 func (r *ReplicaState) nextSend(now time.Time) time.Time {
 	if r.pacer == nil {
-		return now
+		return r.pausedUntil
+	}
+	if permit := r.pacer.NextPermit(now); permit.After(r.pausedUntil) {
+		return permit
 	}
-	return r.pacer.NextPermit(now)
+	return r.pausedUntil
 }
--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -39,11 +39,11 @@
 	case answered == len(j.shards), outstanding == 0 && answered >= required:
 		j.decideSuccess(ReasonShardsLost)
 	case answered+outstanding < required:
-		j.decideFailure(ReasonNone)
+		j.decideFailure(now, ReasonNone)
 	case answered >= required && !now.Before(j.softDeadline):
 		j.decideSuccess(ReasonCutAtTarget)
 	case !now.Before(j.hardDeadline):
-		j.decideFailure(ReasonDeadline)
+		j.decideFailure(now, ReasonDeadline)
 	}
 }
 
@@ -68,7 +68,7 @@
 }
 
 // decideFailure relays the failed reply of a route without shards, or decides that there is no answer. The decision is Refused only if no attempt can have run.
-func (j *Job) decideFailure(reason Reason) {
+func (j *Job) decideFailure(now time.Time, reason Reason) {
 	if !j.request.Route.IsSharded() && j.shards[0].failureReply != nil {
 		j.setDecision(Decision{
 			Kind:    Relayed,
@@ -92,7 +92,7 @@
 	case !mayHaveRun && rejected:
 		d.Kind = Refused
 		d.Reason = ReasonRejected
-		d.RetryAfter = retryAfterOverload
+		d.RetryAfter = max(j.acceptDelay(now), retryAfterOverload)
 	case !mayHaveRun:
 		d.Kind = Refused
 		d.Reason = ReasonNoReplica
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -93,7 +93,7 @@
 	return attempts
 }
 
-// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards have a replica, are free of congestion and are within the rate limits of their replicas.
+// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards have a replica, are free of congestion and have a replica that accepts an attempt now.
 func (j *Job) Start(now time.Time) []*Attempt {
 	reachable := 0
 	for _, s := range j.shards {
@@ -117,7 +117,7 @@
 		})
 		return nil
 	}
-	if wait := j.rateLimitDelay(now); wait > 0 {
+	if wait := j.acceptDelay(now); wait > 0 {
 		j.setDecision(Decision{
 			Kind:       Refused,
 			Reason:     ReasonLimited,
@@ -153,14 +153,17 @@
 	return admitted >= j.requiredCount()
 }
 
-// rateLimitDelay returns how long it takes until the rate limits of replicas allow enough first attempts for an answer. Sending fewer would use up permits without an answer.
-func (j *Job) rateLimitDelay(now time.Time) time.Duration {
+// acceptDelay returns how long it takes until replicas of enough shards for an answer accept an attempt, by their rate limits and pauses. Sending fewer would use up permits without an answer.
+func (j *Job) acceptDelay(now time.Time) time.Duration {
 	var sendTimes []time.Time
 	for _, s := range j.shards {
 		if next, ok := j.policies.Balancer.NextSend(now, s.service); ok && !s.skipped {
 			sendTimes = append(sendTimes, next)
 		}
 	}
+	if len(sendTimes) < j.requiredCount() {
+		return 0
+	}
 	slices.SortFunc(sendTimes, time.Time.Compare)
 	return sendTimes[j.requiredCount()-1].Sub(now)
 }
--- a/internal/coordination/scatterer/limit_test.go
+++ b/internal/coordination/scatterer/limit_test.go
@@ -63,7 +63,7 @@
 		t.Errorf("the limited replica got %d attempts in 10 s, want 20", limitedAttempts)
 	}
 	p.Balancer.RecordNotice(start.Add(10*time.Second), replica, balancer.Notice{})
-	if replica.Notice().RateLimit.IsStated {
+	if replica.Notice(start).RateLimit.IsStated {
 		t.Error("limit still in force after a response without one")
 	}
 }
--- a/internal/transport/forwarder/notices.go
+++ b/internal/transport/forwarder/notices.go
@@ -16,28 +16,33 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	before := r.Notice()
-	f.balancer.RecordNotice(time.Now(), r, *notice)
-	f.logNotice(r, before)
+	now := time.Now()
+	before := r.Notice(now)
+	f.balancer.RecordNotice(now, r, *notice)
+	f.logNotice(now, r, before)
 }
 
 // refusalNotice returns what the replica has said of itself if it accepts no requests from this instance, and nil if it does.
 func (f *Forwarder) refusalNotice(r *balancer.ReplicaState) *balancer.Notice {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if r.Accepts(time.Now()) {
+	now := time.Now()
+	if r.Accepts(now) {
 		return nil
 	}
-	notice := r.Notice()
+	notice := r.Notice(now)
 	return &notice
 }
 
 // logNotice logs what a replica says of itself if it differs from what it said before; the mutex must be held.
-func (f *Forwarder) logNotice(r *balancer.ReplicaState, before balancer.Notice) {
-	notice := r.Notice()
+func (f *Forwarder) logNotice(now time.Time, r *balancer.ReplicaState, before balancer.Notice) {
+	notice := r.Notice(now)
 	if notice.IsLeaving && !before.IsLeaving {
 		f.log.Info("replica is leaving", "replica", r.ID, "service", r.Service, "address", r.Address)
 	}
+	if notice.RetryAfter > before.RetryAfter {
+		f.log.Info("replica paused", "replica", r.ID, "service", r.Service, "retry-after-ms", notice.RetryAfter.Milliseconds())
+	}
 	limit, limitBefore := notice.RateLimit, before.RateLimit
 	if limit != limitBefore {
 		f.log.Info("replica rate limit changed", "replica", r.ID, "service", r.Service, "limited", limit.IsStated, "per-second", limit.PerSecond,
@@ -60,7 +65,8 @@
 		return nil
 	}
 	message := &wire.ReplicaNotice{
-		Leaving: notice.IsLeaving,
+		Leaving:      notice.IsLeaving,
+		RetryAfterUs: uint64(notice.RetryAfter.Microseconds()),
 	}
 	if notice.RateLimit.IsStated {
 		message.RateLimit = &notice.RateLimit.PerSecond
@@ -77,6 +83,7 @@
 			IsStated:  message.RateLimit != nil,
 			PerSecond: message.GetRateLimit(),
 		},
-		IsLeaving: message.GetLeaving(),
+		IsLeaving:  message.GetLeaving(),
+		RetryAfter: time.Duration(message.GetRetryAfterUs()) * time.Microsecond,
 	}
 }
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -169,7 +169,13 @@
 func (f *Forwarder) noticeOf(id string) balancer.Notice {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.balancer.Find(id).Notice()
+	return f.balancer.Find(id).Notice(time.Now())
+}
+
+// hasNotice reports whether the replica has told this instance that it is leaving or wants a pause.
+func (f *Forwarder) hasNotice(id string) bool {
+	notice := f.noticeOf(id)
+	return notice.IsLeaving || notice.RetryAfter > 0
 }
 
 func (rf *relayFixture) countRequest(id string) {
@@ -280,26 +286,37 @@
 	}
 }
 
-// TestRelayedLeavingReplica checks that a replica which has told a peer that it is leaving gets no more attempts from that peer, and that the instance which asked the peer learns of it.
-func TestRelayedLeavingReplica(t *testing.T) {
-	rf := newRelayFixture(t)
-	rf.disableRepeats()
-	r, _ := rf.far.findReplica("shard-0-0")
-	leaving := balancer.Notice{
-		IsLeaving: true,
+// TestRelayedNotice checks that a replica which has told a peer that it is leaving, or that it wants a pause, gets no more attempts from that peer, and that the instance which asked the peer learns of it.
+func TestRelayedNotice(t *testing.T) {
+	const id = "shard-0-0"
+	cases := []struct {
+		name   string
+		notice balancer.Notice
+	}{
+		{"leaving", balancer.Notice{
+			IsLeaving: true,
+		}},
+		{"paused", balancer.Notice{
+			RetryAfter: time.Hour,
+		}},
 	}
-	rf.far.mutex.Lock()
-	rf.far.balancer.RecordNotice(time.Now().Add(-time.Minute), r, leaving)
-	rf.far.mutex.Unlock()
-	deadline := time.Now().Add(5 * time.Second)
-	for !rf.near.noticeOf("shard-0-0").IsLeaving {
-		if time.Now().After(deadline) {
-			t.Fatal("the origin does not learn that the replica is leaving")
+	for _, c := range cases {
+		rf := newRelayFixture(t)
+		rf.disableRepeats()
+		r, _ := rf.far.findReplica(id)
+		rf.far.mutex.Lock()
+		rf.far.balancer.RecordNotice(time.Now().Add(-time.Minute), r, c.notice)
+		rf.far.mutex.Unlock()
+		deadline := time.Now().Add(5 * time.Second)
+		for !rf.near.hasNotice(id) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: the origin does not learn of it", c.name)
+			}
+			rf.serve(t)
+		}
+		if got := rf.requestCount(id); got != 0 {
+			t.Errorf("%s: %d requests reached the replica", c.name, got)
 		}
-		rf.serve(t)
-	}
-	if got := rf.requestCount("shard-0-0"); got != 0 {
-		t.Errorf("%d requests reached the replica", got)
 	}
 }
 
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -239,8 +239,8 @@
 // handleOutcome handles the outcome of an attempt and returns the attempts to send next; the mutex must be held.
 func (r *activeRequest) handleOutcome(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) []*scatterer.Attempt {
 	r.recordOutcome(now, a, outcome)
-	before := a.Replica.Notice()
+	before := a.Replica.Notice(now)
 	attempts := r.job.HandleOutcome(now, a, outcome)
-	r.forwarder.logNotice(a.Replica, before)
+	r.forwarder.logNotice(now, a.Replica, before)
 	return attempts
 }
