Serve short metrics first and without help texts

A fetch of the first 4 KiB of an instance's metrics held its first metrics by name, such as one line for each of 50 services, and not the gauges that tell its state. Short ones come first now; help texts, which tally makes from the names, are left out.

--- a/internal/transport/reporter/reporter.go
+++ b/internal/transport/reporter/reporter.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 )
@@ -43,7 +45,7 @@
 	return &Reporter{
 		Scope: scope,
 		handlers: []http.Handler{
-			newHandler(registry),
+			newHandler(shortFirst(registry)),
 			newHandler(runtimeRegistry),
 		},
 		closer: closer,
@@ -54,13 +56,34 @@
 func (r *Reporter) Close() { _ = r.closer.Close() }
 
 // newHandler returns a handler that does not compress, so that its output can follow that of another.
-func newHandler(registry *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{
+func newHandler(gatherer prometheus.Gatherer) http.Handler {
+	return promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{
 		DisableCompression: true,
 	})
 }
 
-// Handler returns the handler that serves the metrics in the Prometheus text format. Those of the scope come first, since a monitoring system may truncate the response.
+// shortFirst returns the metrics of the scope in the order of their lengths, without help texts, which only repeat their names.
+func shortFirst(registry *prometheus.Registry) prometheus.Gatherer {
+	return prometheus.GathererFunc(func() ([]*dto.MetricFamily, error) {
+		families, err := registry.Gather()
+		for _, family := range families {
+			family.Help = nil
+		}
+		slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return lineCount(a) - lineCount(b) })
+		return families, err
+	})
+}
+
+// lineCount returns how many lines of text the values of a metric take.
+func lineCount(family *dto.MetricFamily) int {
+	count := 0
+	for _, metric := range family.GetMetric() {
+		count += 1 + len(metric.GetHistogram().GetBucket()) + len(metric.GetSummary().GetQuantile())
+	}
+	return count
+}
+
+// Handler returns the handler that serves the metrics in the Prometheus text format. Those of the scope come before those of the runtime, and short ones before long ones, since a monitoring system may truncate the response.
 func (r *Reporter) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		for _, handler := range r.handlers {
