--- a/internal/state/journaler/machine_test.go
+++ b/internal/state/journaler/machine_test.go
@@ -204,3 +204,55 @@
 		t.Errorf("lost election %+v, want a pre-vote granted by b alone", lost)
 	}
 }
+
+// newLeader returns instance b as the leader of term 1, with its first entry committed by an acknowledgement from c at 260 ms.
+func newLeader(t *testing.T) *Machine {
+	t.Helper()
+	m := newFollower(&wire.HardState{})
+	m.Tick(at(250))
+	for _, pre := range []bool{true, false} {
+		m.Step(at(250), &wire.JournalMessage{
+			From: "c",
+			To:   "b",
+			Term: 1,
+			Body: &wire.JournalMessage_VoteReply{
+				VoteReply: &wire.VoteReply{
+					Pre:     pre,
+					Granted: true,
+				},
+			},
+		})
+	}
+	m.Step(at(260), &wire.JournalMessage{
+		From: "c",
+		To:   "b",
+		Term: 1,
+		Body: &wire.JournalMessage_AppendReply{
+			AppendReply: &wire.AppendReply{
+				Matched: true,
+				Index:   1,
+				Round:   1,
+			},
+		},
+	})
+	if m.Role() != Leader || !m.HasLease(at(260)) {
+		t.Fatalf("role %d, lease %t; want a leader with a lease", m.Role(), m.HasLease(at(260)))
+	}
+	return m
+}
+
+// TestSuspendedLeaderHasNoLease checks that a leader which wakes after its lease has expired serves no reads and accepts no proposals before its next tick, given a clock that counts the suspended time.
+func TestSuspendedLeaderHasNoLease(t *testing.T) {
+	m := newLeader(t)
+	woken := at(5000)
+	if m.HasLease(woken) || m.InContact(woken) {
+		t.Errorf("lease %t, in contact %t after the suspension", m.HasLease(woken), m.InContact(woken))
+	}
+	if _, _, err := m.Propose(woken, wire.EntryKind_ENTRY_KIND_COMMAND, nil); err == nil {
+		t.Error("accepted a proposal after the suspension")
+	}
+	m.Tick(woken)
+	if m.Role() == Leader {
+		t.Error("still the leader after the first tick")
+	}
+}
