--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -49,7 +49,7 @@
 	return notice
 }
 
-// Accepts reports whether the replica accepts requests from this instance, within its rate limit.
+// Accepts reports whether the replica accepts requests from this instance at all, leaving aside its rate limit.
 func (r *ReplicaState) Accepts(now time.Time) bool {
 	return !r.hasLeft(now) && !now.Before(r.pausedUntil)
 }
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -93,7 +93,7 @@
 	return attempts
 }
 
-// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards have a replica, are free of congestion and have a replica that accepts an attempt now.
+// Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards are free of congestion and have a replica that accepts an attempt now.
 func (j *Job) Start(now time.Time) []*Attempt {
 	reachable := 0
 	for _, s := range j.shards {
--- a/internal/transport/exchanger/body.go
+++ b/internal/transport/exchanger/body.go
@@ -62,7 +62,7 @@
 			return body.Bytes(), nil
 		case err != nil:
 			return nil, err
-		case body.Len()+bodyChunkSize > maxBodySize:
+		case body.Len() > maxBodySize:
 			return nil, errBodyTooLarge
 		}
 		if err := r.acquire(n); err != nil {
