Send heartbeats while a write to the disk is under way

A write longer than the lease cost the leader its office, and the next one had its own write to wait for.

Change: a leader whose entries wait for its disk sends appends without entries at what each peer has acknowledged already; a follower replies at once to an append without entries with its last durable entry, if its term is durable. Nothing is acknowledged that is not durable.

TestLeaderOutlastsFollowersDisks: the term stays 1; without the change it is 3.

--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -139,6 +139,9 @@
 	roundPending      bool
 	roundPendingSince time.Time
 	actions           Actions
+	// early holds messages that depend on no write; see TakeEarlyMessages.
+	early []*wire.JournalMessage
+	saved savedState
 }
 
 // New returns a follower with the saved state.
@@ -155,6 +158,7 @@
 	m.commitIndex = saved.Snapshot.GetIndex()
 	m.deliveredIndex = m.commitIndex
 	m.updateMembers()
+	m.saved.init(m.log.LastIndex(), m.Term())
 	m.commitTo(saved.CommitIndex)
 	// The time of the last contact with a leader is not persisted. Assume now, so that no vote is granted while that leader's lease may still hold.
 	m.leaderContactAt = now
@@ -208,8 +212,9 @@
 	})
 }
 
-// TakeActions returns the actions accumulated since the last call. A single append round covers everything proposed and committed in between.
+// TakeActions returns the actions accumulated since the last call, which must be durable by now. A single append round covers everything proposed and committed in between.
 func (m *Machine) TakeActions() Actions {
+	m.saved.complete()
 	if m.roundPending && m.role == Leader {
 		m.sendAppends(m.roundPendingSince)
 	}
@@ -217,9 +222,17 @@
 	actions := m.actions
 	actions.CommitIndex = m.commitIndex
 	m.actions = Actions{}
+	m.saved.begin(m.log.LastIndex(), m.Term())
 	return actions
 }
 
+// TakeEarlyMessages returns the messages accumulated since the last call that may be sent while the actions of an earlier call of TakeActions are not durable yet.
+func (m *Machine) TakeEarlyMessages() []*wire.JournalMessage {
+	messages := m.early
+	m.early = nil
+	return messages
+}
+
 // Tick starts elections and sends heartbeats that are due.
 func (m *Machine) Tick(now time.Time) {
 	if m.role == Leader {
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if now.Sub(m.lastRoundAt) >= m.timing.HeartbeatInterval {
-		m.sendAppends(now)
+		m.sendRound(now)
 	}
 	m.removeSilentVoter(now)
 }
@@ -54,12 +54,26 @@
 	}
 }
 
-func (m *Machine) sendAppends(now time.Time) {
-	m.roundPending = false
+// sendRound sends an append round or, while entries wait for the disk, one of early heartbeats.
+func (m *Machine) sendRound(now time.Time) {
+	if m.saved.isWaiting(now, m.log.LastIndex(), maxSaveWaits*m.timing.ElectionTimeout) {
+		m.sendEarlyHeartbeats(now)
+		return
+	}
+	m.sendAppends(now)
+}
+
+// startRound begins an append round, whose replies extend the lease.
+func (m *Machine) startRound(now time.Time) {
 	m.lastRoundAt = now
 	m.round++
 	m.roundSentAt[m.round] = now
 	delete(m.roundSentAt, m.round-maxTrackedRounds)
+}
+
+func (m *Machine) sendAppends(now time.Time) {
+	m.roundPending = false
+	m.startRound(now)
 	for _, member := range m.members {
 		if member.GetId() != m.ID() {
 			m.sendAppend(now, member.GetId())
@@ -128,6 +142,11 @@
 	m.mergeEntries(request.GetEntries())
 	lastIndex := request.GetPrevIndex() + uint64(len(request.GetEntries()))
 	m.commitTo(min(request.GetCommit(), lastIndex))
+	if len(request.GetEntries()) == 0 && m.saved.term == m.Term() {
+		// The reply to the entries themselves follows once they are durable.
+		m.early = append(m.early, m.newAppendReply(msg.GetFrom(), true, min(lastIndex, m.saved.index), request.GetRound()))
+		return
+	}
 	m.sendAppendReply(msg.GetFrom(), true, lastIndex, request.GetRound())
 }
 
@@ -151,6 +170,7 @@
 
 func (m *Machine) truncateFrom(index uint64) {
 	m.log.TruncateFrom(index)
+	m.saved.truncateFrom(index)
 	m.updateMembers()
 	kept := m.actions.Entries[:0]
 	for _, entry := range m.actions.Entries {
@@ -165,7 +185,12 @@
 }
 
 func (m *Machine) sendAppendReply(to string, matched bool, index, round uint64) {
-	m.send(&wire.JournalMessage{
+	m.send(m.newAppendReply(to, matched, index, round))
+}
+
+func (m *Machine) newAppendReply(to string, matched bool, index, round uint64) *wire.JournalMessage {
+	return &wire.JournalMessage{
+		From: m.ID(),
 		To:   to,
 		Term: m.Term(),
 		Body: &wire.JournalMessage_AppendReply{
@@ -175,7 +200,7 @@
 				Round:   round,
 			},
 		},
-	})
+	}
 }
 
 func (m *Machine) handleAppendReply(now time.Time, msg *wire.JournalMessage, reply *wire.AppendReply) {
@@ -255,6 +280,7 @@
 		m.truncateFrom(snapshot.GetIndex() + 1)
 	}
 	m.log.Compact(snapshot)
+	m.saved.truncateFrom(0)
 	m.snapshotMembers = snapshot.GetMembers().GetMembers()
 	m.updateMembers()
 	m.commitIndex = snapshot.GetIndex()
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -331,6 +331,9 @@
 
 // processActions passes actions that need a sync to the saver, one batch at a time, and completes the others at once.
 func (c *Controller) processActions() error {
+	for _, message := range c.machine.TakeEarlyMessages() {
+		c.send(message)
+	}
 	for !c.isSaving {
 		actions := c.machine.TakeActions()
 		if actions.IsEmpty() {
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -169,6 +169,14 @@
 	return 0
 }
 
+// term returns the term of the instance.
+func (cl *cluster) term(i int) uint64 {
+	cl.t.Helper()
+	var term uint64
+	check(cl.t, cl.controls[i].runInLoop(context.Background(), func(time.Time) { term = cl.controls[i].machine.Term() }))
+	return term
+}
+
 func (cl *cluster) publish(i int, version uint64, content string) {
 	cl.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -322,6 +330,48 @@
 	}
 }
 
+// TestLeaderOutlastsFollowersDisks checks that a leader keeps its term while the disks of all its followers refuse a write, and that the write is acknowledged once they accept it.
+func TestLeaderOutlastsFollowersDisks(t *testing.T) {
+	cl := newCluster(t, 3)
+	cl.awaitVoters(0)
+	cl.publish(0, 1, "first")
+	leader := cl.awaitLeader()
+	term := cl.term(leader)
+	for i := range cl.controls {
+		if i != leader {
+			folder := cl.settings[i].DataFolder
+			check(t, os.Rename(folder, folder+".away"))
+			check(t, cl.controls[i].store.Close())
+		}
+	}
+	published := make(chan error, 1)
+	go func() {
+		_, err := cl.controls[leader].PublishDocument(t.Context(), &wire.Publication{
+			Version: 2,
+		})
+		published <- err
+	}()
+	time.Sleep(5 * testElectionTimeoutMs * time.Millisecond)
+	if got := cl.term(leader); got != term {
+		t.Errorf("term %d, want %d", got, term)
+	}
+	for i := range cl.controls {
+		if i != leader {
+			folder := cl.settings[i].DataFolder
+			check(t, os.Rename(folder+".away", folder))
+		}
+	}
+	select {
+	case err := <-published:
+		check(t, err)
+	case <-time.After(testTimeout):
+		t.Fatal("not acknowledged after the disks recovered")
+	}
+	if got := cl.term(leader); got != term {
+		t.Errorf("term %d after the disks recovered, want %d", got, term)
+	}
+}
+
 // TestPlanNeedsQuorum checks that a leader returns no plan, even within its lease, unless a quorum has confirmed its leadership after the request.
 func TestPlanNeedsQuorum(t *testing.T) {
 	cl := newCluster(t, 3)
