--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -75,11 +75,15 @@
 }
 
 func newJob(route *matcher.Route, p *Policies) *Job {
+	return newJobAt(start, route, p)
+}
+
+func newJobAt(now time.Time, route *matcher.Route, p *Policies) *Job {
 	return New(Request{
 		ID:        "1",
 		Route:     route,
-		ArrivedAt: start,
-		Deadline:  start.Add(800 * time.Millisecond),
+		ArrivedAt: now,
+		Deadline:  now.Add(800 * time.Millisecond),
 	}, p)
 }
 
--- a/internal/coordination/scatterer/limit_test.go
+++ b/internal/coordination/scatterer/limit_test.go
@@ -6,7 +6,6 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
-	"pimentogate.example/pimentogate/internal/coordination/matcher"
 )
 
 // limited returns a successful outcome that states a limit of so many requests a second.
@@ -28,15 +27,6 @@
 	p.Balancer.RecordStart(start, r)
 }
 
-func newJobAt(now time.Time, route *matcher.Route, p *Policies) *Job {
-	return New(Request{
-		ID:        "1",
-		Route:     route,
-		ArrivedAt: now,
-		Deadline:  now.Add(800 * time.Millisecond),
-	}, p)
-}
-
 // TestLimitedReplicaLeavesRestToOthers checks that a replica gets as many attempts as its limit allows, that another one gets the rest, and that a response without a limit lifts it.
 func TestLimitedReplicaLeavesRestToOthers(t *testing.T) {
 	const perSecond = 2
--- a/internal/state/journaler/cluster_test.go
+++ b/internal/state/journaler/cluster_test.go
@@ -531,6 +531,19 @@
 	}
 }
 
+// runWithFaults runs so many steps with random proposals and, once in faultInterval steps on average, a fault.
+func (c *cluster) runWithFaults(steps, faultInterval int) {
+	for i := range steps {
+		c.step()
+		if c.random.IntN(4) == 0 {
+			c.propose(c.nodes[c.random.IntN(len(c.nodes))], fmt.Sprint(i))
+		}
+		if c.random.IntN(faultInterval) == 0 {
+			c.injectFault()
+		}
+	}
+}
+
 func (c *cluster) leader() *node {
 	for _, n := range c.nodes {
 		if n.isRunning() && n.machine.HasLease(c.now) {
@@ -575,15 +588,7 @@
 		for seed := range uint64(100) {
 			t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
 				c := newCluster(t, seed, size)
-				for i := range 4000 {
-					c.step()
-					if c.random.IntN(4) == 0 {
-						c.propose(c.nodes[c.random.IntN(size)], fmt.Sprint(i))
-					}
-					if c.random.IntN(60) == 0 {
-						c.injectFault()
-					}
-				}
+				c.runWithFaults(4000, 60)
 				c.checkRecovery()
 			})
 		}
--- a/internal/state/journaler/machine_test.go
+++ b/internal/state/journaler/machine_test.go
@@ -105,13 +105,10 @@
 	}
 }
 
-// TestNoLeaseFromOldVote checks that votes which arrive long after the election started do not give the leader a lease.
-func TestNoLeaseFromOldVote(t *testing.T) {
-	m := newFollower(&wire.HardState{})
-	m.Tick(at(250))
-	m.TakeActions()
+// grantVotes delivers c's replies to the pre-vote and the vote of b in term 1.
+func grantVotes(m *Machine, now time.Time) {
 	for _, pre := range []bool{true, false} {
-		m.Step(at(5000), &wire.JournalMessage{
+		m.Step(now, &wire.JournalMessage{
 			From: "c",
 			To:   "b",
 			Term: 1,
@@ -123,6 +120,14 @@
 			},
 		})
 	}
+}
+
+// TestNoLeaseFromOldVote checks that votes which arrive long after the election started do not give the leader a lease.
+func TestNoLeaseFromOldVote(t *testing.T) {
+	m := newFollower(&wire.HardState{})
+	m.Tick(at(250))
+	m.TakeActions()
+	grantVotes(m, at(5000))
 	if m.Role() != Leader || m.HasLease(at(5000)) || m.InContact(at(5000)) {
 		t.Errorf("role %d, lease %t, in contact %t; want a leader without a lease", m.Role(), m.HasLease(at(5000)), m.InContact(at(5000)))
 	}
@@ -210,19 +215,7 @@
 	t.Helper()
 	m := newFollower(&wire.HardState{})
 	m.Tick(at(250))
-	for _, pre := range []bool{true, false} {
-		m.Step(at(250), &wire.JournalMessage{
-			From: "c",
-			To:   "b",
-			Term: 1,
-			Body: &wire.JournalMessage_VoteReply{
-				VoteReply: &wire.VoteReply{
-					Pre:     pre,
-					Granted: true,
-				},
-			},
-		})
-	}
+	grantVotes(m, at(250))
 	m.Step(at(260), &wire.JournalMessage{
 		From: "c",
 		To:   "b",
--- a/internal/state/journaler/membership_test.go
+++ b/internal/state/journaler/membership_test.go
@@ -159,15 +159,7 @@
 			t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
 				c := newOpenCluster(t, seed, size, 1)
 				c.unreliable = true
-				for i := range 15000 {
-					c.step()
-					if c.random.IntN(4) == 0 {
-						c.propose(c.nodes[c.random.IntN(size)], fmt.Sprint(i))
-					}
-					if c.random.IntN(700) == 0 {
-						c.injectFault()
-					}
-				}
+				c.runWithFaults(15000, 700)
 				c.checkRecovery()
 			})
 		}
--- a/internal/state/journaler/slow_disk_test.go
+++ b/internal/state/journaler/slow_disk_test.go
@@ -56,15 +56,7 @@
 			t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
 				c := newCluster(t, seed, size)
 				c.maxSaveTime = time.Duration(5+10*(seed%8)) * time.Millisecond
-				for i := range 6000 {
-					c.step()
-					if c.random.IntN(4) == 0 {
-						c.propose(c.nodes[c.random.IntN(size)], fmt.Sprint(i))
-					}
-					if c.random.IntN(90) == 0 {
-						c.injectFault()
-					}
-				}
+				c.runWithFaults(6000, 90)
 				c.maxSaveTime = testStep
 				c.checkRecovery()
 			})
