--- a/internal/coordination/limiter/pacer.go
+++ b/internal/coordination/limiter/pacer.go
@@ -23,7 +23,7 @@
 }
 
 // Pacer spaces the requests of one entry instance to one replica so that all instances together keep within the
-// replica's rate limit without talking to each other: permits become available at even intervals, shifted at random
+// replica's rate limit without exchanging messages: permits become available at even intervals, shifted at random
 // against those of the other instances. It is not safe for concurrent use.
 type Pacer struct {
 	limit    RateLimit
--- a/internal/state/journaler/slow_disk_test.go
+++ b/internal/state/journaler/slow_disk_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// TestStalledDiskLosesLeadership checks that a leader whose disk takes no writes makes room for another instance.
+// TestStalledDiskLosesLeadership checks that another instance is elected if the disk of the leader takes no writes.
 func TestStalledDiskLosesLeadership(t *testing.T) {
 	c := newCluster(t, 1, 3)
 	c.unreliable = false
