Log the fingerprint of a request

The request line now has a hash of the method, host, path, caller and body, which repeats have in common at all instances.

--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -36,7 +36,9 @@
 	Method string
 	Host   string
 	// Path is the path and query as received from the caller.
-	Path   string
+	Path string
+	// Caller identifies who sent the request, by the credentials; empty if it has none.
+	Caller string
 	Header http.Header
 	Body   []byte
 	// AtMostOnce is true for a request that must not run more than once.
--- a/internal/transport/forwarder/request_log.go
+++ b/internal/transport/forwarder/request_log.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,7 +100,7 @@
 		log = log.V(1)
 	}
 	d := entry.decision
-	log.Info("request", "request", entry.call.ID, "route", entry.request.Route.Name, "outcome", d.Kind.String(), "reason", d.Reason,
+	log.Info("request", "request", entry.call.ID, "fingerprint", formatFingerprint(entry.call.Fingerprint()), "route", entry.request.Route.Name, "outcome", d.Kind.String(), "reason", d.Reason,
 		"parts", len(d.Replies), "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "target-ms", entry.request.Route.TargetLatency.Milliseconds(),
 		"waits-ms", entry.callerTimeoutMs(), "retry-after-ms", d.RetryAfter.Milliseconds(), "attempts", len(entry.attempts),
 		"version", entry.configVersion, "table", entry.tableIndex, "least-shed-share", entry.minAdmittedShare, "least-budget-left", entry.minRetryBudget)
@@ -126,6 +127,9 @@
 		"in-flight", a.inFlight, "outcome", a.outcome, "cause", a.cause, "took-ms", milliseconds(a.duration))
 }
 
+// formatFingerprint returns the fingerprint of a request as it appears in the log.
+func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
 // milliseconds returns the duration in milliseconds, rounded to a tenth.
 func milliseconds(d time.Duration) float64 {
 	return float64(d.Round(time.Millisecond/10)) / float64(time.Millisecond)
