Quarantine requests that crash their replicas

Cause: each request was judged alone. That replicas had ended under the same method, path, caller and body before was remembered nowhere, here or at other instances; a query's own retry took the second replica of each shard as well.

An attempt whose connection the replica's side ends is reported to control under the request's fingerprint.

Each instance also judges by what it has seen itself, cut off from control. A query over shards that may be the cause is sent to one shard first, and of its retries only one is in flight until a shard has answered.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -44,6 +44,8 @@
 	decision     *Decision
 	// answeredShards counts the shards that have a reply.
 	answeredShards int
+	// screening guards the replicas against a request that may crash them.
+	screening screening
 }
 
 // New returns a job that has sent no attempt yet.
@@ -95,6 +97,14 @@
 
 // Start returns the first attempt of every shard. It refuses the request without sending anything if too few shards are free of congestion and have a replica that accepts an attempt now.
 func (j *Job) Start(now time.Time) []*Attempt {
+	if wait := j.screen(now); wait > 0 {
+		j.setDecision(Decision{
+			Kind:       Refused,
+			Reason:     ReasonQuarantined,
+			RetryAfter: wait,
+		})
+		return nil
+	}
 	reachable := 0
 	for _, s := range j.shards {
 		if j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
@@ -126,12 +136,9 @@
 		return nil
 	}
 	var attempts []*Attempt
-	for i, s := range j.shards {
-		if s.skipped {
-			continue
-		}
-		if a := j.placeAttempt(now, i, s, AttemptFirst); a != nil {
-			attempts = append(attempts, a)
+	for _, i := range j.sendOrder() {
+		if s := j.shards[i]; !s.skipped {
+			attempts = append(attempts, j.sendShard(now, i, s)...)
 		}
 	}
 	j.tryDecide(now)
@@ -145,7 +152,7 @@
 	}
 	admitted := 0
 	for _, s := range j.shards {
-		s.skipped = !j.policies.Shedder.Admit(now, j.traffic(s.service))
+		s.skipped = s.skipped || !j.policies.Shedder.Admit(now, j.traffic(s.service))
 		if !s.skipped && j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
 			admitted++
 		}
@@ -188,10 +195,12 @@
 	if s.reply != nil {
 		j.answeredShards++
 	}
+	j.updateScreening(a, outcome)
 	var attempts []*Attempt
 	if s.reply == nil && len(s.pending) == 0 {
-		attempts = j.retryShard(now, a.Shard, s)
+		attempts = j.sendShard(now, a.Shard, s)
 	}
+	attempts = append(attempts, j.releaseShards(now)...)
 	j.tryDecide(now)
 	return j.discardIfDecided(attempts)
 }
@@ -206,7 +215,7 @@
 		switch {
 		case s.reply != nil:
 		case !s.retryAt.IsZero() && !now.Before(s.retryAt):
-			attempts = append(attempts, j.retryShard(now, i, s)...)
+			attempts = append(attempts, j.sendShard(now, i, s)...)
 		case len(s.pending) == 1 && !now.Before(s.pending[0].hedgeAt):
 			attempts = append(attempts, j.hedgeShard(now, i, s)...)
 		}
@@ -253,6 +262,7 @@
 	if outcome.Notice != nil {
 		b.RecordNotice(now, a.Replica, *outcome.Notice)
 	}
+	j.recordSuspicion(now, a, outcome)
 	elapsed := now.Sub(a.StartedAt)
 	expired := !now.Before(a.Deadline)
 	switch {
--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -9,6 +9,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
@@ -20,6 +21,7 @@
 	p := &Policies{
 		Balancer:        balancer.New("a", random),
 		Shedder:         shedder.New(random),
+		Screener:        screener.New(start),
 		CallerAllowance: 10 * time.Millisecond,
 		Overrun:         &Overrun{},
 	}
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -7,21 +7,33 @@
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 )
 
-// retryShard returns an attempt at another replica after all of the shard's attempts have ended without success, or nil if none is allowed now.
-func (j *Job) retryShard(now time.Time, i int, s *shard) []*Attempt {
+// sendShard returns the first attempt of the shard, or one at another replica after all of its attempts have ended without success, or nil if none is allowed now.
+func (j *Job) sendShard(now time.Time, i int, s *shard) []*Attempt {
 	s.retryAt = time.Time{}
-	if !j.canRetry(s) {
+	if !j.canRetry(s) || j.isQuarantined(now, s) {
 		return nil
 	}
-	a := j.placeAttempt(now, i, s, AttemptRetry)
+	if j.isHeld() {
+		s.retryAt = now.Add(recheckInterval)
+		return nil
+	}
+	kind := AttemptRetry
+	if len(s.triedReplicas) == 0 {
+		kind = AttemptFirst
+	}
+	a := j.placeAttempt(now, i, s, kind)
 	if a == nil {
 		return nil
 	}
+	j.notePlaced(a)
 	return []*Attempt{a}
 }
 
 // canRetry reports whether another attempt is allowed. A request that is not idempotent is never sent again once it may have run, and the number of replicas tried is bounded.
 func (j *Job) canRetry(s *shard) bool {
+	if j.screening.hasFailed {
+		return false
+	}
 	if !j.request.Route.Idempotent && (s.sawBroken || s.failureReply != nil) {
 		return false
 	}
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -6,14 +6,17 @@
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
 // Request holds the properties of a caller's request that decisions depend on.
 type Request struct {
-	ID        string
-	Route     *matcher.Route
-	ArrivedAt time.Time
+	ID string
+	// Fingerprint is the same for all repeats of a request.
+	Fingerprint uint64
+	Route       *matcher.Route
+	ArrivedAt   time.Time
 	// Deadline is when the caller gives up; zero if the caller sent none.
 	Deadline time.Time
 }
@@ -75,6 +78,8 @@
 	Reply *Reply
 	// Notice is what the replica says of itself, or nil if it has not responded.
 	Notice *balancer.Notice
+	// ConnectionLost is set if the replica's side ended the connection before the response was complete, as when the replica crashes.
+	ConnectionLost bool
 	// Cause describes the failure in a few words for the log.
 	Cause string
 }
@@ -110,6 +115,7 @@
 	ReasonNone          Reason = ""
 	ReasonNoReplica     Reason = "no-replica"
 	ReasonCongested     Reason = "shards-congested"
+	ReasonQuarantined   Reason = "quarantined"
 	ReasonLimited       Reason = "replicas-limited"
 	ReasonRejected      Reason = "rejected-by-replicas"
 	ReasonReplicaFailed Reason = "replica-broke-off"
@@ -167,6 +173,7 @@
 type Policies struct {
 	Balancer *balancer.Balancer
 	Shedder  *shedder.Shedder
+	Screener *screener.Screener
 	// RetryBudget returns the budget for the retries and hedges of a service.
 	RetryBudget func(service string) *limiter.Window
 	// CallerAllowance is the time reserved for the network between the caller and this instance, in both directions.
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -9,6 +9,7 @@
 	"pimentogate.example/pimentogate/internal/state/claimer"
 	"pimentogate.example/pimentogate/internal/state/enroller"
 	"pimentogate.example/pimentogate/internal/state/publisher"
+	"pimentogate.example/pimentogate/internal/state/quarantiner"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -28,6 +29,8 @@
 	// Publisher and Enroller hold the routing configuration and the table of replicas.
 	Publisher *publisher.Publisher
 	Enroller  *enroller.Enroller
+	// Quarantiner holds the requests under which replicas have crashed.
+	Quarantiner *quarantiner.Quarantiner
 }
 
 // New returns an empty state.
@@ -37,6 +40,8 @@
 		Ledger:    claimer.New(),
 		Publisher: publisher.New(nil),
 		Enroller:  enroller.New(nil),
+
+		Quarantiner: quarantiner.New(nil),
 	}
 }
 
@@ -73,6 +78,11 @@
 	case *wire.Command_Enroll:
 		a.Enroller.Enroll(change.Enroll.GetReplica(), entry.GetIndex())
 		return Result{}, nil
+	case *wire.Command_ReportAttempts:
+		for _, attempt := range change.ReportAttempts.GetAttempts() {
+			a.Quarantiner.Report(a.Ledger.NowMs(), attempt, entry.GetIndex())
+		}
+		return Result{}, nil
 	case *wire.Command_Read:
 		return Result{
 			Read: &wire.ReadResponse{
@@ -96,6 +106,7 @@
 		Fleet: &wire.FleetState{
 			Publication: a.Publisher.Publication(),
 			Replicas:    a.Enroller.Replicas(0),
+			Suspects:    a.Quarantiner.Suspects(0),
 		},
 	})
 }
@@ -110,5 +121,6 @@
 	a.Ledger = claimer.Restore(state.GetTimeMs(), state.GetClaims())
 	a.Publisher = publisher.New(state.GetFleet().GetPublication())
 	a.Enroller = enroller.New(state.GetFleet().GetReplicas())
+	a.Quarantiner = quarantiner.New(state.GetFleet().GetSuspects())
 	return nil
 }
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"connectrpc.com/connect"
@@ -46,6 +47,20 @@
 	return connect.NewResponse(&wire.EnrollResponse{}), nil
 }
 
+// ReportAttempts commits the ends of attempts of suspect requests, here or at the leader. A forwarded request is committed here or not at all.
+func (s *fleetService) ReportAttempts(ctx context.Context, request *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error) {
+	var err error
+	if request.Msg.GetForwarded() {
+		_, err = s.controller.command(ctx, reportAttemptsCommand(request.Msg))
+	} else {
+		err = s.controller.reportAttempts(ctx, request.Msg)
+	}
+	if err != nil {
+		return nil, s.controller.connectError(err)
+	}
+	return connect.NewResponse(&wire.ReportAttemptsResponse{}), nil
+}
+
 // Read commits an entry after everything acknowledged before, and returns the publication that is current at that index.
 func (s *fleetService) Read(ctx context.Context, _ *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error) {
 	result, err := s.controller.command(ctx, readCommand())
@@ -94,7 +109,7 @@
 			response.Members = nil
 			response.Entries = nil
 		}
-		hasChanges := len(response.GetReplicas()) > 0 || response.GetWhole() || response.GetVersion() > follow.GetVersion()
+		hasChanges := len(response.GetReplicas()) > 0 || len(response.GetSuspects()) > 0 || response.GetWhole() || response.GetVersion() > follow.GetVersion()
 		if hasChanges || !waiting {
 			return connect.NewResponse(response), nil
 		}
@@ -123,6 +138,8 @@
 		response.Index = c.appliedIndex
 		response.Version = c.state.Publisher.Publication().GetVersion()
 		response.Replicas = c.state.Enroller.Replicas(fromIndex)
+		response.Suspects = c.state.Quarantiner.Suspects(fromIndex)
+		response.TimeMs = time.Now().UnixMilli()
 		response.Members = c.machine.Members()
 		response.Confirmed = c.machine.InContact(now)
 	})
@@ -183,6 +200,29 @@
 	return err
 }
 
+// reportAttempts records the ends of attempts that change what is known of suspect requests, once a quorum has stored them.
+func (c *Controller) reportAttempts(ctx context.Context, report *wire.ReportAttemptsRequest) error {
+	news := &wire.ReportAttemptsRequest{
+		Forwarded: true,
+	}
+	err := c.runInLoop(ctx, func(time.Time) {
+		for _, attempt := range report.GetAttempts() {
+			if c.state.Quarantiner.IsUpdate(attempt) {
+				news.Attempts = append(news.Attempts, attempt)
+			}
+		}
+	})
+	if err != nil || len(news.GetAttempts()) == 0 {
+		return err
+	}
+	_, err = c.execute(ctx, reportAttemptsCommand(news), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
+		_, err := client.ReportAttempts(ctx, connect.NewRequest(news))
+		return applier.Result{}, err
+	})
+	c.log.Info("crashes reported", "attempts", len(news.GetAttempts()), "fingerprint", fmt.Sprintf("%016x", news.GetAttempts()[0].GetFingerprint()), "acknowledged", err == nil)
+	return err
+}
+
 // FindReplica returns the record of the replica, or nil if there is none.
 func (c *Controller) FindReplica(ctx context.Context, id string) (*wire.Replica, error) {
 	var replica *wire.Replica
@@ -244,6 +284,14 @@
 	}
 }
 
+func reportAttemptsCommand(report *wire.ReportAttemptsRequest) *wire.Command {
+	return &wire.Command{
+		Change: &wire.Command_ReportAttempts{
+			ReportAttempts: report,
+		},
+	}
+}
+
 func readCommand() *wire.Command {
 	return &wire.Command{
 		Change: &wire.Command_Read{
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
@@ -326,14 +327,20 @@
 }
 
 func brokenOutcome(x *Exchange, err error) scatterer.Outcome {
-	cause := causeOf(err)
-	if x.isAbandoned() {
-		cause = scatterer.CauseCancelled
+	outcome := scatterer.Outcome{
+		Kind:           scatterer.OutcomeBroken,
+		ConnectionLost: isConnectionLost(err),
+		Cause:          causeOf(err),
 	}
-	return scatterer.Outcome{
-		Kind:  scatterer.OutcomeBroken,
-		Cause: cause,
+	if x.isAbandoned() {
+		outcome.Cause = scatterer.CauseCancelled
 	}
+	return outcome
+}
+
+// isConnectionLost reports whether the other side has ended the connection.
+func isConnectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // causeOf returns a short description of the error without addresses.
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -227,6 +227,7 @@
 		d.entryInstances.Store(int64(count))
 	}
 	d.forwarder.setEntryInstances(count)
+	d.forwarder.updateSuspects(response)
 	d.applyReplicas(response)
 }
 
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
 	"pimentogate.example/pimentogate/internal/transport/depositor"
@@ -48,6 +49,7 @@
 	// mutex guards the settings, the fields below up to entryInstances, and the state of active requests and relays.
 	mutex        sync.Mutex
 	balancer     *balancer.Balancer
+	screener     *screener.Screener
 	retryBudgets map[string]*limiter.Window
 	policies     *scatterer.Policies
 	advertiser   *advertiser.Advertiser
@@ -64,6 +66,7 @@
 	peers        *peers
 	gauges       *gaugeSampler
 	preconnector *preconnector
+	crashes      *crashReporter
 	records      *depositor.Depositor
 	stop         chan struct{}
 	done         chan struct{}
@@ -78,6 +81,7 @@
 		log:            log.WithName("entry").WithValues("instance", settings.Instance, "zone", settings.Zone),
 		protocol:       protocol,
 		balancer:       balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		screener:       screener.New(time.Now()),
 		retryBudgets:   map[string]*limiter.Window{},
 		entryInstances: assumedRetryingInstances,
 		advertiser:     advertiser.New(),
@@ -87,6 +91,7 @@
 	}
 	f.policies = &scatterer.Policies{
 		Balancer:        f.balancer,
+		Screener:        f.screener,
 		Shedder:         shedder.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryBudget:     f.retryBudget,
 		CallerAllowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
@@ -99,12 +104,14 @@
 	f.peers = newPeers(f)
 	f.gauges = newGaugeSampler(f)
 	f.preconnector = newPreconnector(f)
+	f.crashes = newCrashReporter(f)
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
 	f.directory.start()
 	go f.gauges.run()
 	go f.preconnector.run()
+	go f.crashes.run()
 	f.records = depositor.New(settings.Instance, outcomeRecordBounds, listener.NewClient(), f.directory.primaryAddresses, f.meter.recordsLost, f.log)
 	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
 	return f, nil
@@ -181,6 +188,7 @@
 	f.peers.close()
 	f.gauges.close()
 	f.preconnector.close()
+	f.crashes.close()
 	f.requestLog.close()
 	f.readiness.Close()
 	f.metrics.Close()
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -60,6 +60,7 @@
 	attemptsInFlight     tally.Gauge
 	saturatedReplicas    tally.Gauge
 	limitedReplicas      tally.Gauge
+	quarantinedRequests  tally.Gauge
 }
 
 func newMeter() *meter {
@@ -92,6 +93,7 @@
 		attemptsInFlight:     s.Gauge("attempts_in_flight"),
 		saturatedReplicas:    s.Gauge("replicas_with_full_slots"),
 		limitedReplicas:      s.Gauge("replicas_limited"),
+		quarantinedRequests:  s.Gauge("requests_quarantined"),
 	}
 }
 
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -179,6 +179,8 @@
 		Kind:   scatterer.OutcomeKind(part.GetOutcome()),
 		Notice: noticeFromWire(part.GetNotice()),
 		Cause:  part.GetCause(),
+
+		ConnectionLost: part.GetConnectionLost(),
 	}
 	if outcome.Kind == scatterer.OutcomeReplied {
 		outcome.Reply = &scatterer.Reply{
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -147,6 +147,8 @@
 		Outcome: uint32(outcome.Kind),
 		Cause:   outcome.Cause,
 		Notice:  noticeToWire(outcome.Notice),
+
+		ConnectionLost: outcome.ConnectionLost,
 	}
 	if outcome.Reply != nil {
 		part.Status = uint32(outcome.Reply.Status)
--- a/pkg/wire/wireconnect/fleet.connect.go
+++ b/pkg/wire/wireconnect/fleet.connect.go
@@ -47,6 +47,9 @@
 	FleetServiceDocumentProcedure = "/pimentogate.v1.FleetService/Document"
 	// FleetServiceHeardProcedure is the fully-qualified name of the FleetService's Heard RPC.
 	FleetServiceHeardProcedure = "/pimentogate.v1.FleetService/Heard"
+	// FleetServiceReportAttemptsProcedure is the fully-qualified name of the FleetService's
+	// ReportAttempts RPC.
+	FleetServiceReportAttemptsProcedure = "/pimentogate.v1.FleetService/ReportAttempts"
 )
 
 // FleetServiceClient is a client for the pimentogate.v1.FleetService service.
@@ -57,6 +60,7 @@
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	Document(context.Context, *connect.Request[wire.DocumentRequest]) (*connect.Response[wire.DocumentResponse], error)
 	Heard(context.Context, *connect.Request[wire.HeardRequest]) (*connect.Response[wire.HeardResponse], error)
+	ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the pimentogate.v1.FleetService service. By
@@ -106,17 +110,24 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Heard")),
 			connect.WithClientOptions(opts...),
 		),
+		reportAttempts: connect.NewClient[wire.ReportAttemptsRequest, wire.ReportAttemptsResponse](
+			httpClient,
+			baseURL+FleetServiceReportAttemptsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReportAttempts")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	publish  *connect.Client[wire.PublishRequest, wire.PublishResponse]
-	enroll   *connect.Client[wire.EnrollRequest, wire.EnrollResponse]
-	read     *connect.Client[wire.ReadRequest, wire.ReadResponse]
-	follow   *connect.Client[wire.FollowRequest, wire.FollowResponse]
-	document *connect.Client[wire.DocumentRequest, wire.DocumentResponse]
-	heard    *connect.Client[wire.HeardRequest, wire.HeardResponse]
+	publish        *connect.Client[wire.PublishRequest, wire.PublishResponse]
+	enroll         *connect.Client[wire.EnrollRequest, wire.EnrollResponse]
+	read           *connect.Client[wire.ReadRequest, wire.ReadResponse]
+	follow         *connect.Client[wire.FollowRequest, wire.FollowResponse]
+	document       *connect.Client[wire.DocumentRequest, wire.DocumentResponse]
+	heard          *connect.Client[wire.HeardRequest, wire.HeardResponse]
+	reportAttempts *connect.Client[wire.ReportAttemptsRequest, wire.ReportAttemptsResponse]
 }
 
 // Publish calls pimentogate.v1.FleetService.Publish.
@@ -149,6 +160,11 @@
 	return c.heard.CallUnary(ctx, req)
 }
 
+// ReportAttempts calls pimentogate.v1.FleetService.ReportAttempts.
+func (c *fleetServiceClient) ReportAttempts(ctx context.Context, req *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error) {
+	return c.reportAttempts.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the pimentogate.v1.FleetService service.
 type FleetServiceHandler interface {
 	Publish(context.Context, *connect.Request[wire.PublishRequest]) (*connect.Response[wire.PublishResponse], error)
@@ -157,6 +173,7 @@
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	Document(context.Context, *connect.Request[wire.DocumentRequest]) (*connect.Response[wire.DocumentResponse], error)
 	Heard(context.Context, *connect.Request[wire.HeardRequest]) (*connect.Response[wire.HeardResponse], error)
+	ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -202,6 +219,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Heard")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReportAttemptsHandler := connect.NewUnaryHandler(
+		FleetServiceReportAttemptsProcedure,
+		svc.ReportAttempts,
+		connect.WithSchema(fleetServiceMethods.ByName("ReportAttempts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pimentogate.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServicePublishProcedure:
@@ -216,6 +239,8 @@
 			fleetServiceDocumentHandler.ServeHTTP(w, r)
 		case FleetServiceHeardProcedure:
 			fleetServiceHeardHandler.ServeHTTP(w, r)
+		case FleetServiceReportAttemptsProcedure:
+			fleetServiceReportAttemptsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -248,3 +273,7 @@
 func (UnimplementedFleetServiceHandler) Heard(context.Context, *connect.Request[wire.HeardRequest]) (*connect.Response[wire.HeardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.FleetService.Heard is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.FleetService.ReportAttempts is not implemented"))
+}
