Order crashes under a request by what senders knew, not by clocks

After a clock that is set back by 3 s, all attempts of 3 s would count as sent at once, and a request that crashes its replicas would reach as many more before its quarantine (TestClockSetBack: one round where there are three).

An attempt now carries the round after the last of which its instance knew when it sent it, so that three rounds are three attempts each sent in knowledge of the crash before. An answer clears the crashes of its service that the instance knew of when it sent the attempt. Only the end of a quarantine still goes by a clock, and a clock set back does not make it longer.

--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -98,6 +98,7 @@
 		StartedAt: now,
 		Deadline:  j.attemptDeadline(now),
 		hedgeAt:   now.Add(j.hedgeDelay()),
+		round:     j.policies.Screener.NextRound(j.request.Fingerprint),
 	}
 	j.policies.Balancer.RecordStart(now, replica)
 	s.pending = append(s.pending, a)
--- a/internal/coordination/scatterer/screening.go
+++ b/internal/coordination/scatterer/screening.go
@@ -113,7 +113,7 @@
 		Service:     a.Service,
 		Replica:     a.Replica.ID,
 		BornMs:      a.Replica.BornMs,
-		StartedAt:   a.StartedAt,
+		Round:       a.round,
 	}
 	switch {
 	case outcome.ConnectionLost:
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -105,6 +105,8 @@
 	Deadline time.Time
 
 	hedgeAt time.Time
+	// round counts the crashes of which this instance knew when it sent the attempt.
+	round uint32
 }
 
 // Reason says why a request got no complete answer.
--- a/internal/coordination/screener/screener.go
+++ b/internal/coordination/screener/screener.go
@@ -26,7 +26,8 @@
 	Service     string
 	Replica     string
 	BornMs      int64
-	StartedAt   time.Time
+	// Round is the result of NextRound when the attempt was sent.
+	Round uint32
 }
 
 // Report is the end of an attempt that control has to know.
@@ -84,6 +85,11 @@
 	return quarantiner.HasCrashed(s.table.Find(fingerprint), service)
 }
 
+// NextRound returns the round of an attempt of the request that is sent now.
+func (s *Screener) NextRound(fingerprint uint64) uint32 {
+	return quarantiner.NextRound(s.table.Find(fingerprint))
+}
+
 // RecordCrash records that the replica crashed while it ran the attempt.
 func (s *Screener) RecordCrash(now time.Time, a Attempt) { s.record(now, a, true) }
 
@@ -114,7 +120,6 @@
 			continue
 		}
 		suspect := proto.CloneOf(record)
-		suspect.RoundStartMs += shift
 		suspect.LastCrashMs += shift
 		s.table.Put(suspect)
 		s.noteChange(now, suspect.GetFingerprint())
@@ -172,12 +177,12 @@
 // ToWire returns the report as it is sent at the given time.
 func (r *Report) ToWire(now time.Time) *wire.AttemptEnd {
 	return &wire.AttemptEnd{
-		Fingerprint:  r.Fingerprint,
-		Service:      r.Service,
-		Replica:      r.Replica,
-		BornMs:       r.BornMs,
-		Crashed:      r.Crashed,
-		StartedMsAgo: uint32(max(0, now.Sub(r.StartedAt).Milliseconds())),
-		EndedMsAgo:   uint32(max(0, now.Sub(r.EndedAt).Milliseconds())),
+		Fingerprint: r.Fingerprint,
+		Service:     r.Service,
+		Replica:     r.Replica,
+		BornMs:      r.BornMs,
+		Crashed:     r.Crashed,
+		Round:       r.Round,
+		EndedMsAgo:  uint32(max(0, now.Sub(r.EndedAt).Milliseconds())),
 	}
 }
--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -68,11 +68,11 @@
 
 // IsUpdate reports whether the end of an attempt would change the table.
 func (q *Quarantiner) IsUpdate(attempt *wire.AttemptEnd) bool {
-	suspect := q.suspects[attempt.GetFingerprint()]
+	crashes := q.suspects[attempt.GetFingerprint()].GetCrashes()
 	if attempt.GetCrashed() {
-		return !slices.ContainsFunc(suspect.GetCrashes(), func(c *wire.ReplicaCrash) bool { return isSameReplica(c, attempt) })
+		return !slices.ContainsFunc(crashes, func(c *wire.ReplicaCrash) bool { return isSameReplica(c, attempt) })
 	}
-	return HasCrashed(suspect, attempt.GetService())
+	return slices.ContainsFunc(crashes, func(c *wire.ReplicaCrash) bool { return isRefuted(c, attempt) })
 }
 
 // Report applies the end of an attempt that is committed at a journal index and reports whether it changed the table.
@@ -80,7 +80,6 @@
 	if !q.IsUpdate(attempt) {
 		return false
 	}
-	startedMs, endedMs := nowMs-int64(attempt.GetStartedMsAgo()), nowMs-int64(attempt.GetEndedMsAgo())
 	suspect := &wire.SuspectRequest{
 		Fingerprint: attempt.GetFingerprint(),
 	}
@@ -88,9 +87,10 @@
 		suspect = proto.CloneOf(existing)
 	}
 	if attempt.GetCrashed() {
-		addCrash(suspect, attempt, startedMs, endedMs)
-	} else if !removeService(suspect, attempt.GetService(), endedMs) {
-		return false
+		addCrash(suspect, attempt)
+		suspect.LastCrashMs = max(suspect.GetLastCrashMs(), nowMs-int64(attempt.GetEndedMsAgo()))
+	} else {
+		suspect.Crashes = slices.DeleteFunc(suspect.GetCrashes(), func(c *wire.ReplicaCrash) bool { return isRefuted(c, attempt) })
 	}
 	suspect.Index = index
 	q.suspects[suspect.GetFingerprint()] = suspect
@@ -98,38 +98,30 @@
 	return true
 }
 
-func addCrash(suspect *wire.SuspectRequest, attempt *wire.AttemptEnd, startedMs, endedMs int64) {
-	round := uint32(1)
-	if len(suspect.GetCrashes()) > 0 {
-		round = lastRound(suspect)
-	}
-	switch {
-	case len(suspect.GetCrashes()) == 0:
-		suspect.RoundStartMs = endedMs
-	case startedMs >= suspect.GetRoundStartMs():
-		suspect.RoundStartMs = endedMs
-		round++
-	}
-	suspect.LastCrashMs = max(suspect.GetLastCrashMs(), endedMs)
+func addCrash(suspect *wire.SuspectRequest, attempt *wire.AttemptEnd) {
 	suspect.Crashes = append(suspect.Crashes, &wire.ReplicaCrash{
 		Service: attempt.GetService(),
 		Replica: attempt.GetReplica(),
 		BornMs:  attempt.GetBornMs(),
-		Round:   round,
+		Round:   min(attempt.GetRound(), NextRound(suspect)),
 	})
 	if excess := len(suspect.GetCrashes()) - maxCrashes; excess > 0 {
 		suspect.Crashes = suspect.GetCrashes()[excess:]
 	}
 }
 
-// removeService removes the crashes of a service that has answered the request since, and reports whether there were any.
-func removeService(suspect *wire.SuspectRequest, service string, answeredMs int64) bool {
-	if answeredMs < suspect.GetLastCrashMs() {
-		return false
+// isRefuted reports whether the service of the crash has answered an attempt that was sent after it.
+func isRefuted(crash *wire.ReplicaCrash, answer *wire.AttemptEnd) bool {
+	return crash.GetService() == answer.GetService() && crash.GetRound() < answer.GetRound()
+}
+
+// NextRound returns the round of an attempt that is sent now: the one after the last in which a replica crashed. Rounds need no clock that the instances share.
+func NextRound(suspect *wire.SuspectRequest) uint32 {
+	last := uint32(0)
+	for _, crash := range suspect.GetCrashes() {
+		last = max(last, crash.GetRound())
 	}
-	before := len(suspect.GetCrashes())
-	suspect.Crashes = slices.DeleteFunc(suspect.GetCrashes(), func(c *wire.ReplicaCrash) bool { return c.GetService() == service })
-	return len(suspect.GetCrashes()) < before
+	return last + 1
 }
 
 // evict deletes the records whose last crash is long ago, and the oldest ones beyond maxSuspects.
@@ -165,7 +157,7 @@
 	if len(suspect.GetCrashes()) < minCrashes || countRounds(suspect) < minRounds {
 		return 0
 	}
-	return max(0, Duration-time.Duration(nowMs-suspect.GetLastCrashMs())*time.Millisecond)
+	return min(Duration, max(0, Duration-time.Duration(nowMs-suspect.GetLastCrashMs())*time.Millisecond))
 }
 
 // AffectsShard reports whether the quarantine of a request over shards covers the shard. If replicas of only a few shards have crashed, it covers these alone.
@@ -186,14 +178,6 @@
 	return crash.GetReplica() == attempt.GetReplica() && crash.GetBornMs() == attempt.GetBornMs()
 }
 
-func lastRound(suspect *wire.SuspectRequest) uint32 {
-	last := uint32(0)
-	for _, crash := range suspect.GetCrashes() {
-		last = max(last, crash.GetRound())
-	}
-	return last
-}
-
 func countRounds(suspect *wire.SuspectRequest) int {
 	rounds := map[uint32]bool{}
 	for _, crash := range suspect.GetCrashes() {
