Do not take unreachable replicas for congested ones

Cause: the shedder counted every first attempt that ended late as congestion, also one that was not sent because no connection could be opened here or at a peer, and one that began when the target had nearly passed or was over.

These say nothing about the load of a service and are no longer counted.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -26,6 +26,8 @@
 	lateReplyShare = 0.2
 	// defaultHedgeShare is the share of the target latency used as the hedge delay until a latency has been observed.
 	defaultHedgeShare = 0.35
+	// minObservedShare is the share of the target latency that an attempt must have had for its lateness to count as congestion.
+	minObservedShare = 0.3
 	// retryAfterFailure is the Retry-After of a request that found no replica, failed or expired: about one short backoff of a replica.
 	retryAfterFailure = 250 * time.Millisecond
 	// retryAfterOverload is the Retry-After of a request that was refused because of load.
@@ -276,11 +278,20 @@
 	default:
 		b.RecordFailure(now, a.Replica)
 	}
-	if !j.request.Route.IsSharded() || a.Kind != AttemptFirst {
+	if j.request.Route.IsSharded() && a.Kind == AttemptFirst {
+		j.observeCongestion(now, a, outcome)
+	}
+}
+
+// observeCongestion tells the shedder whether the attempt was rejected or too late to be useful. Attempts that were not sent because no connection could be opened, and those that had little time from the start, say nothing about the load of the service.
+func (j *Job) observeCongestion(now time.Time, a *Attempt, outcome Outcome) {
+	available := j.softDeadline.Sub(a.StartedAt)
+	isUnreachable := outcome.Kind == OutcomeUnsent && outcome.Cause != CauseCancelled
+	if isUnreachable || available < time.Duration(minObservedShare*float64(j.request.Route.TargetLatency)) {
 		return
 	}
 	// An answer in the last quarter of the available time counts as congestion, since the next one may be too late.
-	usefulUntil := a.StartedAt.Add(j.softDeadline.Sub(a.StartedAt) * 3 / 4)
+	usefulUntil := a.StartedAt.Add(available * 3 / 4)
 	j.policies.Shedder.Observe(now, j.traffic(a.Service), outcome.Kind == OutcomeRejected || now.After(usefulUntil))
 }
 
