Let peers answer for instances that reach no replica

Cause: such an instance kept its callers' requests and went on sending them down paths that had failed, and nothing told it that the paths, not the replicas, were at fault. Others relayed attempts through it, which it reported unsent after 400 ms.

An instance counts as isolated once several replicas have been silent for longer than usual since the last response of any, time in which it stood still itself left aside. Requests then go to peers in turn, whole, with the version of the configuration; requests under way that may run again as well, and those that could not be sent although the instance is not isolated. A request that may run once goes to another peer only if nothing was done with it. Without a peer it is refused at once. An isolated instance takes nothing from peers, and asks a random replica for its health every 200 ms until one responds.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -131,6 +131,17 @@
 // Find returns the replica with the ID, or nil.
 func (b *Balancer) Find(id string) *ReplicaState { return b.replicasByID[id] }
 
+// Replicas returns all replicas that are not lost.
+func (b *Balancer) Replicas() []Replica {
+	var replicas []Replica
+	for _, r := range b.replicasByID {
+		if !r.Lost {
+			replicas = append(replicas, r.Replica)
+		}
+	}
+	return replicas
+}
+
 // ReplicaCount returns how many replicas the service has, except those that have left.
 func (b *Balancer) ReplicaCount(now time.Time, service string) int {
 	s := b.services[service]
--- /dev/null
+++ b/internal/coordination/diverter/diverter.go
@@ -0,0 +1,150 @@
+package diverter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// silenceDelay is how long replicas must have been silent at least for this instance to count as isolated. It covers a pause of a replica.
+	silenceDelay = 250 * time.Millisecond
+	// patienceFactor is how many times the expected latency a response may take.
+	patienceFactor = 3
+	// maxCheckGap is the longest time between two checks that counts as silence of replicas. After a longer one this process itself may have stood still.
+	maxCheckGap = 200 * time.Millisecond
+	// minSilentReplicas is how many replicas must be silent. A single one may have failed itself.
+	minSilentReplicas = 2
+	// initialBackoff is how long a peer is skipped after its first failure; it doubles with each further failure, up to maxBackoff.
+	initialBackoff = 250 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+// Peer is another entry instance.
+type Peer struct {
+	Instance string
+	Address  string
+
+	failures     int
+	backoffUntil time.Time
+}
+
+// Diverter tracks whether replicas respond to this instance, and the peers that may answer requests in its place. It is not safe for concurrent use.
+type Diverter struct {
+	self   string
+	random *rand.Rand
+	// waits holds the replicas that were sent an attempt since the last contact with any replica.
+	waits      map[string]wait
+	lastCheck  time.Time
+	isIsolated bool
+	peers      []*Peer
+	// nextPeer is the index of the peer that is chosen next if it is healthy.
+	nextPeer int
+}
+
+// wait is the wait for the response to the first attempt at a replica.
+type wait struct {
+	since time.Time
+	// patience is how long it may take.
+	patience time.Duration
+}
+
+// New returns a diverter without peers for the entry instance self.
+func New(self string, random *rand.Rand) *Diverter {
+	return &Diverter{
+		self:   self,
+		random: random,
+		waits:  map[string]wait{},
+	}
+}
+
+// RecordSent records that an attempt was sent to the replica directly. Its response usually takes no longer than expected.
+func (d *Diverter) RecordSent(now time.Time, replica string, expected time.Duration) {
+	if _, ok := d.waits[replica]; !ok {
+		d.waits[replica] = wait{
+			since:    now,
+			patience: max(silenceDelay, patienceFactor*expected),
+		}
+	}
+}
+
+// RecordContact records that a replica has responded.
+func (d *Diverter) RecordContact() {
+	clear(d.waits)
+	d.isIsolated = false
+}
+
+// IsIsolated reports whether this instance reaches no replica: several have been silent for longer than usual since the last contact with any. It remains so until the next contact. It has to be called at short intervals.
+func (d *Diverter) IsIsolated(now time.Time) bool {
+	gap := now.Sub(d.lastCheck)
+	d.lastCheck = now
+	if d.isIsolated {
+		return true
+	}
+	if gap > maxCheckGap {
+		d.restartSilence(now)
+	}
+	silent := 0
+	for _, w := range d.waits {
+		if now.Sub(w.since) >= w.patience {
+			silent++
+		}
+	}
+	d.isIsolated = silent >= minSilentReplicas
+	return d.isIsolated
+}
+
+// restartSilence lets the silence of all replicas begin now.
+func (d *Diverter) restartSilence(now time.Time) {
+	for replica, w := range d.waits {
+		w.since = now
+		d.waits[replica] = w
+	}
+}
+
+// Update replaces the list of peers. Peers that were known under the same address keep their state.
+func (d *Diverter) Update(peers []Peer) {
+	var next []*Peer
+	for _, listed := range peers {
+		if listed.Instance == d.self || listed.Address == "" {
+			continue
+		}
+		known := &Peer{
+			Instance: listed.Instance,
+			Address:  listed.Address,
+		}
+		if i := slices.IndexFunc(d.peers, func(p *Peer) bool { return p.Instance == listed.Instance && p.Address == listed.Address }); i >= 0 {
+			known = d.peers[i]
+		}
+		next = append(next, known)
+	}
+	d.peers = next
+	if len(next) > 0 {
+		// Instances that are isolated at the same time start at different peers.
+		d.nextPeer = d.random.IntN(len(next))
+	}
+}
+
+// Choose returns the next healthy peer that is not in avoid, or nil if there is none. Successive calls return the peers in turn, which spreads the load.
+func (d *Diverter) Choose(now time.Time, avoid []*Peer) *Peer {
+	for range d.peers {
+		d.nextPeer = (d.nextPeer + 1) % len(d.peers)
+		p := d.peers[d.nextPeer]
+		if !now.Before(p.backoffUntil) && !slices.Contains(avoid, p) {
+			return p
+		}
+	}
+	return nil
+}
+
+// RecordAnswer records that the peer has answered a request.
+func (d *Diverter) RecordAnswer(p *Peer) { p.failures = 0 }
+
+// RecordFailure records that the peer did not answer a request, and skips it for a while. Requests that were sent before the skip count as one failure.
+func (d *Diverter) RecordFailure(now time.Time, p *Peer) {
+	if now.Before(p.backoffUntil) {
+		return
+	}
+	p.backoffUntil = now.Add(min(initialBackoff<<min(p.failures, 10), maxBackoff))
+	p.failures++
+}
--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -26,6 +26,8 @@
 	unanswered   []time.Time
 	failures     int
 	backoffUntil time.Time
+	// isIsolated is set if the peer has said that it reaches no replica.
+	isIsolated bool
 }
 
 // Relayer tracks the entry instances of other availability zones and the state of their calls. It is not safe for concurrent use.
@@ -118,6 +120,7 @@
 // RecordResponse records the first response to the call started at startedAt.
 func (r *Relayer) RecordResponse(p *Peer, startedAt time.Time) {
 	p.failures = 0
+	p.isIsolated = false
 	p.removeUnanswered(startedAt)
 }
 
@@ -128,6 +131,13 @@
 	p.failures++
 }
 
+// RecordIsolation records that the peer has refused a call because it reaches no replica, and reports whether this is news.
+func (r *Relayer) RecordIsolation(p *Peer) bool {
+	isNews := !p.isIsolated
+	p.isIsolated = true
+	return isNews
+}
+
 // RecordCancellation records that the caller cancelled an unanswered call. It counts as a failure only if the peer had responseTimeout to answer.
 func (r *Relayer) RecordCancellation(now time.Time, p *Peer, startedAt time.Time) {
 	if now.Sub(startedAt) >= responseTimeout {
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -264,6 +264,10 @@
 	if outcome.Notice != nil {
 		b.RecordNotice(now, a.Replica, *outcome.Notice)
 	}
+	if j.isIsolated() && !outcome.IsResponse() {
+		// The path to all replicas has failed, which says nothing about this one.
+		return
+	}
 	j.recordSuspicion(now, a, outcome)
 	elapsed := now.Sub(a.StartedAt)
 	expired := !now.Before(a.Deadline)
@@ -322,12 +326,25 @@
 	return minLeft
 }
 
-// Abandon ends a job whose caller has disconnected.
-func (j *Job) Abandon() {
+// Refuse refuses a job of which nothing was sent.
+func (j *Job) Refuse(reason Reason) {
+	j.setDecision(Decision{
+		Kind:       Refused,
+		Reason:     reason,
+		RetryAfter: retryAfterFailure,
+	})
+}
+
+// isIsolated reports whether the job was abandoned because this instance reaches no replica.
+func (j *Job) isIsolated() bool { return j.decision != nil && j.decision.Reason == ReasonIsolated }
+
+// Abandon ends a job that has no decision yet for the given reason.
+func (j *Job) Abandon(reason Reason) {
 	if j.decision == nil {
 		j.setDecision(Decision{
-			Kind:   Failed,
-			Reason: ReasonCallerGone,
+			Kind:       Failed,
+			Reason:     reason,
+			RetryAfter: retryAfterFailure,
 		})
 	}
 }
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -84,6 +84,11 @@
 	Cause string
 }
 
+// IsResponse reports whether the replica, or another one at its address, has responded.
+func (o *Outcome) IsResponse() bool {
+	return o.Kind == OutcomeReplied || o.Kind == OutcomeRejected || o.Kind == OutcomeMisdirected
+}
+
 // AttemptKind says why an attempt is made.
 type AttemptKind string
 
@@ -125,6 +130,8 @@
 	ReasonCutAtTarget   Reason = "cut-at-target"
 	ReasonShardsLost    Reason = "shards-lost"
 	ReasonCallerGone    Reason = "caller-gone"
+	ReasonIsolated      Reason = "instance-isolated"
+	ReasonPeerFailed    Reason = "peer-failed"
 )
 
 // DecisionKind says what kind of answer the caller gets.
--- a/internal/coordination/shedder/shedder.go
+++ b/internal/coordination/shedder/shedder.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Reset forgets all congestion, after answers were late for another reason.
+func (s *Shedder) Reset() { clear(s.levels) }
+
 // shareAt returns the share including the recovery since the last update.
 func (l *admissionLevel) shareAt(now time.Time) float64 {
 	return min(1, l.share+recoveryPerSecond*now.Sub(l.updatedAt).Seconds())
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -82,6 +83,35 @@
 	return e.pools.preconnect(ctx, target)
 }
 
+// Probe sends a GET request to the address over a connection of its own and returns nil if there is any response.
+func (e *Exchanger) Probe(ctx context.Context, address, path string) error {
+	raw, err := e.pools.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	conn := newConnection(raw)
+	defer func() { _ = conn.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	request := &http.Request{
+		Method: http.MethodGet,
+		URL: &url.URL{
+			Opaque: path,
+		},
+		Host:  address,
+		Close: true,
+	}
+	if err := writeBuffered(conn, request); err != nil {
+		return err
+	}
+	response, err := readHead(conn, request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // RemoveReplica closes the idle connections of a replica that no longer exists; connections in use are closed when their attempts end.
 func (e *Exchanger) RemoveReplica(replica string) { e.pools.removeReplica(replica) }
 
--- /dev/null
+++ b/internal/transport/forwarder/divert_test.go
@@ -0,0 +1,377 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/matcher"
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/pkg/wire"
+)
+
+// cutMode is how a link behaves while it is cut.
+type cutMode int
+
+const (
+	cutNone cutMode = iota
+	// cutHang lets connections stay open and silent.
+	cutHang
+	// cutReset resets connections, open and new ones.
+	cutReset
+	// cutRefuse refuses new connections, while open ones go on.
+	cutRefuse
+)
+
+// link is a TCP proxy between an entry instance and a replica.
+type link struct {
+	t        *testing.T
+	target   string
+	address  string
+	mutex    sync.Mutex
+	mode     cutMode
+	listener net.Listener
+	conns    []net.Conn
+}
+
+func newLink(t *testing.T, target string) *link {
+	t.Helper()
+	l := &link{
+		t:      t,
+		target: target,
+	}
+	l.listen("127.0.0.1:0")
+	l.address = l.listener.Addr().String()
+	t.Cleanup(func() { l.setMode(cutReset) })
+	return l
+}
+
+func (l *link) listen(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		l.t.Errorf("listen again: %v", err)
+		return
+	}
+	l.listener = listener
+	go l.accept(listener)
+}
+
+func (l *link) accept(listener net.Listener) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", l.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		l.mutex.Lock()
+		l.conns = append(l.conns, near, far)
+		l.mutex.Unlock()
+		go l.copy(near, far)
+		go l.copy(far, near)
+	}
+}
+
+func (l *link) copy(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		l.mutex.Lock()
+		mode := l.mode
+		l.mutex.Unlock()
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if mode != cutHang {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+func (l *link) setMode(mode cutMode) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	previous := l.mode
+	l.mode = mode
+	if mode == cutReset || mode == cutRefuse {
+		_ = l.listener.Close()
+	}
+	if mode == cutReset || previous == cutHang {
+		for _, conn := range l.conns {
+			_ = conn.Close()
+		}
+		l.conns = nil
+	}
+	if mode == cutNone && previous != cutHang {
+		l.listen(l.address)
+	}
+}
+
+// strandedFixture is an entry instance whose links to the replicas can be cut, with two peers, of which one has its own links.
+type strandedFixture struct {
+	instances []*Forwarder
+	links     [2][]*link
+	runs      sync.Map
+	nextID    atomic.Int64
+}
+
+// The indexes of the routes in strandedRoutes.
+const (
+	routeAll = iota
+	routeOnce
+)
+
+const (
+	// strandedShards is the number of shards, each with two replicas.
+	strandedShards = 5
+	// strandedTarget is the target latency of the routes.
+	strandedTarget = 300 * time.Millisecond
+)
+
+func newStrandedFixture(t *testing.T) *strandedFixture {
+	t.Helper()
+	sf := &strandedFixture{}
+	var entries []*wire.EntryInstance
+	for i, zone := range []string{"a", "a", "b"} {
+		f := newTestForwarder(t, fmt.Sprintf("entry-%d", i), zone)
+		sf.instances = append(sf.instances, f)
+		entries = append(entries, &wire.EntryInstance{
+			Instance: f.settings.Instance,
+			Zone:     zone,
+			Address:  f.peers.server.Address(),
+		})
+	}
+	for _, f := range sf.instances {
+		table, err := matcher.NewRoutingTable(1, strandedRoutes(), strandedServices(), matcher.Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.routingTable.Store(table)
+		f.peers.update(entries)
+	}
+	for shard := range strandedShards {
+		for number := range 2 {
+			sf.addReplica(t, shardName(shard), fmt.Sprintf("%s-%d", shardName(shard), number))
+		}
+	}
+	return sf
+}
+
+// strandedRoutes returns a route over all shards, and one for requests that may run once.
+func strandedRoutes() []matcher.Route {
+	sharded := matcher.Route{
+		Name:          "all",
+		Host:          "a.example",
+		Prefix:        "/all/",
+		Idempotent:    true,
+		Timeout:       2 * time.Second,
+		TargetLatency: strandedTarget,
+		MaxRuns:       2,
+		TopK:          2,
+		MinShardShare: 0.75,
+	}
+	for shard := range strandedShards {
+		sharded.Shards = append(sharded.Shards, shardName(shard))
+	}
+	return []matcher.Route{sharded, {
+		Name:          "once",
+		Host:          "a.example",
+		Prefix:        "/once/",
+		Timeout:       2 * time.Second,
+		TargetLatency: strandedTarget,
+		MaxRuns:       1,
+		Service:       shardName(0),
+	}}
+}
+
+func strandedServices() []matcher.Service {
+	var services []matcher.Service
+	for shard := range strandedShards {
+		services = append(services, matcher.Service{
+			Name:           shardName(shard),
+			MaxConnections: 100,
+		})
+	}
+	return services
+}
+
+func shardName(shard int) string { return fmt.Sprintf("shard-%d", shard) }
+
+func (sf *strandedFixture) addReplica(t *testing.T, service, id string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		runs, _ := sf.runs.LoadOrStore(r.RequestURI, new(atomic.Int64))
+		runs.(*atomic.Int64).Add(1)
+		w.Header().Set("Stamp", id)
+		fmt.Fprintf(w, "%-16s%-16s%s", "c"+id, "a"+id, body)
+	}))
+	t.Cleanup(server.Close)
+	for i, f := range sf.instances {
+		address := server.Listener.Addr().String()
+		if i < len(sf.links) {
+			l := newLink(t, address)
+			sf.links[i] = append(sf.links[i], l)
+			address = l.address
+		}
+		f.putReplica(balancer.Replica{
+			ID:      id,
+			Service: service,
+			Address: address,
+			Zone:    "a",
+			Slots:   2,
+		})
+	}
+}
+
+// cut sets the mode of all links of the instance.
+func (sf *strandedFixture) cut(instance int, mode cutMode) {
+	for _, l := range sf.links[instance] {
+		l.setMode(mode)
+	}
+}
+
+// send sends a request on the route to the first instance.
+func (sf *strandedFixture) send(ctx context.Context, route int) Answer {
+	f := sf.instances[0]
+	table := f.RoutingTable()
+	id := fmt.Sprint(sf.nextID.Add(1))
+	call := &exchanger.Call{
+		ID:         id,
+		Method:     http.MethodPost,
+		Host:       "a.example",
+		Path:       table.Routes[route].Prefix + id,
+		Header:     http.Header{},
+		AtMostOnce: !table.Routes[route].Idempotent,
+	}
+	return f.Serve(ctx, call, scatterer.Request{
+		ID:        id,
+		Route:     &table.Routes[route],
+		ArrivedAt: time.Now(),
+		Deadline:  time.Now().Add(2 * time.Second),
+	}, table.Version)
+}
+
+// answerCounts counts the answers of a run.
+type answerCounts struct {
+	sent, answered, whole, late atomic.Int64
+}
+
+// share returns which part of the requests the count is.
+func (a *answerCounts) share(count *atomic.Int64) float64 {
+	return float64(count.Load()) / float64(a.sent.Load())
+}
+
+// sendAll sends requests on the route to the first instance for the duration and counts the answers.
+func (sf *strandedFixture) sendAll(ctx context.Context, route int, duration time.Duration) *answerCounts {
+	const interval = 10 * time.Millisecond
+	var wait sync.WaitGroup
+	answers := &answerCounts{}
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
+		answers.sent.Add(1)
+		wait.Go(func() {
+			startedAt := time.Now()
+			d := sf.send(ctx, route).Decision
+			if d.Kind != scatterer.Gathered && d.Kind != scatterer.Relayed {
+				return
+			}
+			answers.answered.Add(1)
+			if d.MissingShards == 0 {
+				answers.whole.Add(1)
+			}
+			if time.Since(startedAt) > strandedTarget {
+				answers.late.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return answers
+}
+
+// strandedCase is a cut of the links of an instance, and of those of a peer if peerIsCut is set.
+type strandedCase struct {
+	mode      cutMode
+	route     int
+	peerIsCut bool
+}
+
+// run checks that callers are answered while the links are cut and afterwards.
+func (c strandedCase) run(t *testing.T) {
+	const (
+		// settleTime is within the 4 s after a cut in which requests may fail.
+		settleTime  = 2 * time.Second
+		measureTime = time.Second
+		minShare    = 0.99
+	)
+	t.Parallel()
+	sf := newStrandedFixture(t)
+	if before := sf.sendAll(t.Context(), c.route, 300*time.Millisecond); before.share(&before.whole) < 1 {
+		t.Fatalf("%.2f answered whole before the cut", before.share(&before.whole))
+	}
+	sf.cut(0, c.mode)
+	if c.peerIsCut {
+		sf.cut(1, c.mode)
+	}
+	sf.sendAll(t.Context(), c.route, settleTime)
+	during := sf.sendAll(t.Context(), c.route, measureTime)
+	if during.share(&during.answered) < minShare || during.late.Load() > 0 {
+		t.Errorf("%.2f answered while cut, %d of them late", during.share(&during.answered), during.late.Load())
+	}
+	sf.cut(0, cutNone)
+	sf.sendAll(t.Context(), c.route, settleTime)
+	after := sf.sendAll(t.Context(), c.route, measureTime)
+	if after.share(&after.whole) < minShare || sf.instances[0].isolation.isIsolated() {
+		t.Errorf("%.2f answered whole after the cut", after.share(&after.whole))
+	}
+	if c.route == routeOnce {
+		sf.requireRanOnce(t)
+	}
+}
+
+func (sf *strandedFixture) requireRanOnce(t *testing.T) {
+	t.Helper()
+	sf.runs.Range(func(uri, runs any) bool {
+		if count, _ := runs.(*atomic.Int64); count.Load() > 1 {
+			t.Errorf("%s ran %d times", uri, count.Load())
+		}
+		return true
+	})
+}
+
+// TestStrandedInstanceServesCallers guards against an entry instance that reaches no replica failing its callers while peers reach them.
+func TestStrandedInstanceServesCallers(t *testing.T) {
+	modes := map[string]cutMode{
+		"hang":   cutHang,
+		"reset":  cutReset,
+		"refuse": cutRefuse,
+	}
+	routes := map[string]int{
+		"shards":       routeAll,
+		"at most once": routeOnce,
+	}
+	for modeName, mode := range modes {
+		for routeName, route := range routes {
+			for _, peerIsCut := range []bool{false, true} {
+				c := strandedCase{
+					mode:      mode,
+					route:     route,
+					peerIsCut: peerIsCut,
+				}
+				t.Run(fmt.Sprintf("%s/%s/peer cut %t", modeName, routeName, peerIsCut), c.run)
+			}
+		}
+	}
+}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/advertiser"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/diverter"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
@@ -50,6 +51,7 @@
 	mutex        sync.Mutex
 	balancer     *balancer.Balancer
 	screener     *screener.Screener
+	diverter     *diverter.Diverter
 	retryBudgets map[string]*limiter.Window
 	policies     *scatterer.Policies
 	advertiser   *advertiser.Advertiser
@@ -67,6 +69,7 @@
 	gauges       *gaugeSampler
 	preconnector *preconnector
 	crashes      *crashReporter
+	isolation    *isolationMonitor
 	records      *depositor.Depositor
 	stop         chan struct{}
 	done         chan struct{}
@@ -82,6 +85,7 @@
 		protocol:       protocol,
 		balancer:       balancer.New(settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		screener:       screener.New(time.Now()),
+		diverter:       diverter.New(settings.Instance, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		retryBudgets:   map[string]*limiter.Window{},
 		entryInstances: assumedRetryingInstances,
 		advertiser:     advertiser.New(),
@@ -105,6 +109,7 @@
 	f.gauges = newGaugeSampler(f)
 	f.preconnector = newPreconnector(f)
 	f.crashes = newCrashReporter(f)
+	f.isolation = newIsolationMonitor(f)
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
@@ -112,6 +117,7 @@
 	go f.gauges.run()
 	go f.preconnector.run()
 	go f.crashes.run()
+	go f.isolation.run()
 	f.records = depositor.New(settings.Instance, outcomeRecordBounds, listener.NewClient(), f.directory.primaryAddresses, f.meter.recordsLost, f.log)
 	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
 	return f, nil
@@ -189,6 +195,7 @@
 	f.gauges.close()
 	f.preconnector.close()
 	f.crashes.close()
+	f.isolation.close()
 	f.requestLog.close()
 	f.readiness.Close()
 	f.metrics.Close()
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -40,6 +40,7 @@
 	requests map[requestKey]*requestMeter
 	attempts map[attemptKey]tally.Counter
 
+	diversions           map[scatterer.DecisionKind]tally.Counter
 	connectionsOpened    tally.Counter
 	requestLinesLost     tally.Counter
 	recordsLost          tally.Counter
@@ -73,6 +74,7 @@
 		handler:              mux,
 		requests:             map[requestKey]*requestMeter{},
 		attempts:             map[attemptKey]tally.Counter{},
+		diversions:           map[scatterer.DecisionKind]tally.Counter{},
 		connectionsOpened:    s.Counter("connections_opened"),
 		requestLinesLost:     s.Counter("request_lines_lost"),
 		recordsLost:          s.Counter("outcome_records_lost"),
@@ -124,6 +126,20 @@
 	metrics.latency.RecordDuration(latency)
 }
 
+// recordDiversion counts a request that a peer was asked to answer.
+func (m *meter) recordDiversion(outcome scatterer.DecisionKind) {
+	m.mutex.Lock()
+	counter, ok := m.diversions[outcome]
+	if !ok {
+		counter = m.reporter.Scope.Tagged(map[string]string{
+			"outcome": outcome.String(),
+		}).Counter("requests_diverted")
+		m.diversions[outcome] = counter
+	}
+	m.mutex.Unlock()
+	counter.Inc(1)
+}
+
 func (m *meter) recordAttempt(a *scatterer.Attempt, outcome scatterer.OutcomeKind) {
 	key := attemptKey{
 		service: a.Service,
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/diverter"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/transport/listener"
@@ -81,6 +82,7 @@
 // update applies the list of entry instances and opens connections to newly preferred peers.
 func (p *peers) update(entries []*wire.EntryInstance) {
 	var peerList []relayer.Peer
+	var divertPeers []diverter.Peer
 	zoneInstances := 0
 	for _, entry := range entries {
 		if entry.GetZone() == p.forwarder.zone {
@@ -91,12 +93,17 @@
 			Zone:     entry.GetZone(),
 			Address:  entry.GetAddress(),
 		})
+		divertPeers = append(divertPeers, diverter.Peer{
+			Instance: entry.GetInstance(),
+			Address:  entry.GetAddress(),
+		})
 	}
 	p.zoneInstances.Store(int64(p.zoneInstanceCount.Update(time.Now(), zoneInstances)))
 	f := p.forwarder
 	f.mutex.Lock()
 	previous := p.relayer.Preferred()
 	p.relayer.Update(peerList)
+	f.diverter.Update(divertPeers)
 	preferred := p.relayer.Preferred()
 	f.mutex.Unlock()
 	for _, peer := range preferred {
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +11,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -87,12 +87,7 @@
 		FlushUs:   uint64(flushDelayShare * float64(route.TargetLatency.Microseconds())),
 		TopK:      uint32(route.TopK),
 	}
-	for name, values := range r.call.Header {
-		request.Headers = append(request.Headers, &wire.RelayHeader{
-			Name:   name,
-			Values: values,
-		})
-	}
+	request.Headers = headersToWire(r.call.Header)
 	for i, a := range o.pending {
 		request.Items = append(request.Items, &wire.RelayItem{
 			Number:  uint32(i),
@@ -148,6 +143,10 @@
 		f.peers.relayer.RecordFailure(time.Now(), o.peer, o.startedAt)
 		f.log.Info("peer failed to relay attempts", "request", o.owner.call.ID, "peer", o.peer.Instance, "attempts", len(o.pending), "cause", causeOf(err))
 	}
+	if listener.ErrorDetail[*wire.Isolated](err) != nil && f.peers.relayer.RecordIsolation(o.peer) {
+		// Attempts that were late because they went through this peer are no congestion.
+		f.policies.Shedder.Reset()
+	}
 	if o.isAbandoned {
 		outcome.Cause = scatterer.CauseCancelled
 	}
@@ -194,15 +193,11 @@
 
 // callFromRequest returns the call that a peer relays.
 func callFromRequest(request *wire.RelayRequest) *exchanger.Call {
-	call := &exchanger.Call{
+	return &exchanger.Call{
 		ID:     request.GetRequestId(),
 		Method: request.GetMethod(),
 		Host:   request.GetHost(),
 		Path:   request.GetPath(),
-		Header: http.Header{},
-	}
-	for _, header := range request.GetHeaders() {
-		call.Header[header.GetName()] = header.GetValues()
+		Header: headersFromWire(request.GetHeaders()),
 	}
-	return call
 }
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -23,8 +23,8 @@
 
 // Relay sends every attempt to its replica and streams the results. Results that arrive close together share one message.
 func (s *relayService) Relay(ctx context.Context, request *connect.Request[wire.RelayRequest], stream *connect.ServerStream[wire.RelayResponse]) error {
-	if s.forwarder.stopping.Load() {
-		return connect.NewError(connect.CodeFailedPrecondition, errStopping)
+	if err := s.forwarder.unavailability(); err != nil {
+		return err
 	}
 	s.forwarder.peers.incomingCalls.Add(1)
 	msg := request.Msg
@@ -140,7 +140,11 @@
 
 func (a *incomingAttempt) run() {
 	r := a.relay
+	r.forwarder.recordSent(a.replica)
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
+	if outcome.IsResponse() {
+		r.forwarder.recordContact()
+	}
 	r.forwarder.recordNotice(a.replica, outcome.Notice)
 	part := &wire.RelayPart{
 		Number:  a.number,
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -139,6 +139,10 @@
 
 func (rf *relayFixture) addReplica(t *testing.T, service, id string) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.RequestURI == "/" {
+			// The health check of an instance that got no response for a while.
+			return
+		}
 		rf.replicaRequests.Add(1)
 		rf.countRequest(id)
 		if r.Header.Get("Replica") != id || r.Header.Get("Kept") != "yes" || r.RequestURI != "/all/1?q" {
--- a/internal/transport/forwarder/request_log.go
+++ b/internal/transport/forwarder/request_log.go
@@ -40,6 +40,8 @@
 	minRetryBudget   float64
 	latency          time.Duration
 	attempts         []attemptEntry
+	// divertedTo is the peer that was asked last, empty if none was.
+	divertedTo string
 }
 
 // requestLogger logs requests in the background, so that logging does not delay answers. It drops and counts entries that do not fit into its queue.
@@ -100,6 +102,11 @@
 		log = log.V(1)
 	}
 	d := entry.decision
+	if entry.divertedTo != "" {
+		log.Info("request diverted", "request", entry.call.ID, "fingerprint", formatFingerprint(entry.call.Fingerprint()), "route", entry.request.Route.Name, "peer", entry.divertedTo,
+			"outcome", d.Kind.String(), "reason", d.Reason, "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "version", entry.configVersion)
+		return
+	}
 	log.Info("request", "request", entry.call.ID, "fingerprint", formatFingerprint(entry.call.Fingerprint()), "route", entry.request.Route.Name, "outcome", d.Kind.String(), "reason", d.Reason,
 		"parts", len(d.Replies), "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "target-ms", entry.request.Route.TargetLatency.Milliseconds(),
 		"waits-ms", entry.callerTimeoutMs(), "retry-after-ms", d.RetryAfter.Milliseconds(), "attempts", len(entry.attempts),
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -21,21 +21,78 @@
 	Decision scatterer.Decision
 	Route    *matcher.Route
 
+	// request is nil if a peer has answered.
 	request *activeRequest
 }
 
 // RecordWritten records that the answer has been written to the caller. It updates the overrun estimate of answers cut at the soft deadline.
 func (a *Answer) RecordWritten() {
+	if a.request == nil {
+		return
+	}
 	f := a.request.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	a.request.job.RecordWritten(time.Now())
 }
 
-// Serve answers a caller's request along its route, which is of the given configuration version. If that fails, it sends the request again along the route of a newer configuration if scatterer.ShouldReroute allows it.
+// Serve answers a caller's request along its route, which is of the given configuration version. If this instance is isolated or could not send the request, peers answer in its place if one takes the request.
 func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	v := &diversion{
+		forwarder: f,
+		call:      call,
+		request:   request,
+		version:   version,
+	}
+	if f.isolation.isIsolated() {
+		if diverted := v.run(ctx); diverted != nil {
+			return *diverted
+		}
+		return f.refuseIsolated(call, request, version)
+	}
+	answer := f.serveHere(ctx, call, request, version)
+	if answer.canDivert() {
+		if diverted := v.run(ctx); diverted != nil {
+			return *diverted
+		}
+	}
+	answer.record()
+	return answer
+}
+
+// refuseIsolated refuses a request that neither this instance nor a peer can send to replicas. The caller may reach another instance at its next try.
+func (f *Forwarder) refuseIsolated(call *exchanger.Call, request scatterer.Request, version uint64) Answer {
+	r := f.newActiveRequest(call, request, version)
+	f.mutex.Lock()
+	r.job = scatterer.New(request, f.policies)
+	r.job.Refuse(scatterer.ReasonIsolated)
+	answer := Answer{
+		Decision: *r.job.Decision(),
+		Route:    request.Route,
+		request:  r,
+	}
+	r.log(time.Now(), &answer.Decision)
+	f.mutex.Unlock()
+	answer.record()
+	return answer
+}
+
+// canDivert reports whether the request got no answer only because this instance does not reach replicas, and may be sent again.
+func (a *Answer) canDivert() bool {
+	switch a.Decision.Reason {
+	case scatterer.ReasonIsolated:
+		return true
+	case scatterer.ReasonNoReplica:
+		return a.request.hasAttempts()
+	default:
+		return false
+	}
+}
+
+// serveHere answers a request by attempts of this instance. If that fails, it sends the request again along the route of a newer configuration if scatterer.ShouldReroute allows it.
+func (f *Forwarder) serveHere(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	for {
 		active := f.newActiveRequest(call, request, version)
 		d := active.serve(ctx)
@@ -64,18 +121,26 @@
 	}
 }
 
-// serve processes the request until it is decided or the caller disconnects.
+// serve processes the request until it is decided, the caller disconnects or, for a request that may run again, this instance becomes isolated.
 func (r *activeRequest) serve(ctx context.Context) scatterer.Decision {
+	var isolated <-chan struct{}
+	if r.request.Route.Idempotent && !r.forwarder.isolation.isIsolated() {
+		isolated = r.forwarder.isolation.signal()
+	}
 	r.start()
-	timeout := abandonedTimeout
 	select {
 	case <-r.decided:
+		return r.finish(scatterer.ReasonNone, abandonedTimeout)
+	case <-isolated:
+		return r.finish(scatterer.ReasonIsolated, abandonedTimeout)
 	case <-ctx.Done():
-		timeout = callerGoneTimeout
+		return r.finish(scatterer.ReasonCallerGone, callerGoneTimeout)
 	}
-	return r.finish(timeout)
 }
 
+// hasAttempts reports whether attempts were made.
+func (r *activeRequest) hasAttempts() bool { return len(r.attemptEntries) > 0 }
+
 // start sends the first attempts.
 func (r *activeRequest) start() {
 	f := r.forwarder
@@ -113,6 +178,7 @@
 	for _, a := range r.relayAttempts(now, attempts) {
 		exchange := exchanger.NewExchange(a.Deadline.Add(deadlineSlack))
 		r.exchanges[a] = exchange
+		r.forwarder.diverter.RecordSent(now, a.Replica.ID, max(a.Replica.Latency(), r.request.Route.TargetLatency/2))
 		direct := &directAttempt{
 			owner:    r,
 			attempt:  a,
@@ -146,12 +212,12 @@
 // deadlineSlack is how long to wait for a reply after the deadline at which the replica must stop working.
 const deadlineSlack = 20 * time.Millisecond
 
-// finish returns the decision, after abandoning the request if there is none, and limits the attempts and relays still in flight to the timeout.
-func (r *activeRequest) finish(timeout time.Duration) scatterer.Decision {
+// finish returns the decision, after abandoning the request for the reason if there is none, and limits the attempts and relays still in flight to the timeout.
+func (r *activeRequest) finish(reason scatterer.Reason, timeout time.Duration) scatterer.Decision {
 	f := r.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	r.job.Abandon()
+	r.job.Abandon(reason)
 	r.finished = true
 	r.timer.Stop()
 	now := time.Now()
@@ -166,43 +232,52 @@
 		o.cancelAfter(timeout)
 	}
 	d := *r.job.Decision()
-	r.record(now, d)
+	r.log(now, &d)
 	return d
 }
 
 // outcomePending is the logged outcome of an attempt that was in flight when the request was answered.
 const outcomePending = "pending"
 
-// record updates the metrics, the outcome records and the request log; the mutex must be held.
-func (r *activeRequest) record(now time.Time, d scatterer.Decision) {
+// log adds the request to the log; the mutex must be held.
+func (r *activeRequest) log(now time.Time, d *scatterer.Decision) {
 	f := r.forwarder
-	latency := now.Sub(r.request.ArrivedAt)
-	f.meter.recordRequest(r.request.Route.Name, &d, latency)
-	if d.Reason != scatterer.ReasonCallerGone {
-		f.advertiser.Observe(now, d.Kind == scatterer.Relayed || d.Kind == scatterer.Gathered)
-	}
 	for i := range r.attemptEntries {
 		if a := &r.attemptEntries[i]; a.outcome == outcomePending {
 			a.duration = now.Sub(a.attempt.StartedAt)
 		}
 	}
-	f.records.Add(newOutcomeRecord(r, &d, latency))
-	if !shouldLog(r.call, &d) {
+	if !shouldLog(r.call, d) {
 		return
 	}
 	f.requestLog.add(requestEntry{
 		call:             r.call,
 		request:          r.request,
-		decision:         d,
+		decision:         *d,
 		configVersion:    r.version,
 		tableIndex:       f.directory.atomicIndex.Load(),
 		minAdmittedShare: r.job.MinAdmittedShare(now),
 		minRetryBudget:   r.job.MinRetryBudget(now),
-		latency:          latency,
+		latency:          now.Sub(r.request.ArrivedAt),
 		attempts:         r.attemptEntries,
 	})
 }
 
+// record updates the metrics and the outcome records by the answer that the caller gets from this instance.
+func (a *Answer) record() {
+	r, d := a.request, &a.Decision
+	f := r.forwarder
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	latency := now.Sub(r.request.ArrivedAt)
+	f.meter.recordRequest(r.request.Route.Name, d, latency)
+	if d.Reason != scatterer.ReasonCallerGone {
+		f.advertiser.Observe(now, d.Kind == scatterer.Relayed || d.Kind == scatterer.Gathered)
+	}
+	f.records.Add(newOutcomeRecord(r, d, latency))
+}
+
 // recordOutcome counts the outcome of an attempt and adds it to the log entry while the request is not finished; the mutex must be held.
 func (r *activeRequest) recordOutcome(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) {
 	r.forwarder.meter.recordAttempt(a, outcome.Kind)
@@ -232,6 +307,9 @@
 	outcome := f.exchanger.Do(a.exchange, r.call, a.target, a.attempt.Deadline)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if outcome.IsResponse() {
+		f.diverter.RecordContact()
+	}
 	now := time.Now()
 	r.advance(now, r.handleOutcome(now, a.attempt, outcome))
 }
--- a/pkg/wire/wireconnect/relay.connect.go
+++ b/pkg/wire/wireconnect/relay.connect.go
@@ -37,11 +37,14 @@
 const (
 	// RelayServiceRelayProcedure is the fully-qualified name of the RelayService's Relay RPC.
 	RelayServiceRelayProcedure = "/pimentogate.v1.RelayService/Relay"
+	// RelayServiceDivertProcedure is the fully-qualified name of the RelayService's Divert RPC.
+	RelayServiceDivertProcedure = "/pimentogate.v1.RelayService/Divert"
 )
 
 // RelayServiceClient is a client for the pimentogate.v1.RelayService service.
 type RelayServiceClient interface {
 	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.ServerStreamForClient[wire.RelayResponse], error)
+	Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the pimentogate.v1.RelayService service. By
@@ -61,12 +64,19 @@
 			connect.WithSchema(relayServiceMethods.ByName("Relay")),
 			connect.WithClientOptions(opts...),
 		),
+		divert: connect.NewClient[wire.DivertRequest, wire.DivertResponse](
+			httpClient,
+			baseURL+RelayServiceDivertProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Divert")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	relay *connect.Client[wire.RelayRequest, wire.RelayResponse]
+	relay  *connect.Client[wire.RelayRequest, wire.RelayResponse]
+	divert *connect.Client[wire.DivertRequest, wire.DivertResponse]
 }
 
 // Relay calls pimentogate.v1.RelayService.Relay.
@@ -74,9 +84,15 @@
 	return c.relay.CallServerStream(ctx, req)
 }
 
+// Divert calls pimentogate.v1.RelayService.Divert.
+func (c *relayServiceClient) Divert(ctx context.Context, req *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error) {
+	return c.divert.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the pimentogate.v1.RelayService service.
 type RelayServiceHandler interface {
 	Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayResponse]) error
+	Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +108,18 @@
 		connect.WithSchema(relayServiceMethods.ByName("Relay")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceDivertHandler := connect.NewUnaryHandler(
+		RelayServiceDivertProcedure,
+		svc.Divert,
+		connect.WithSchema(relayServiceMethods.ByName("Divert")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pimentogate.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceRelayProcedure:
 			relayServiceRelayHandler.ServeHTTP(w, r)
+		case RelayServiceDivertProcedure:
+			relayServiceDivertHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +132,7 @@
 func (UnimplementedRelayServiceHandler) Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Relay is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Divert is not implemented"))
+}
