Count the runs of a request before it is diverted

Cause: a request under way when its instance became isolated was answered by a peer as if it had been sent nowhere, while its first attempts had reached replicas just before the cut.

The request now carries how many replicas of each service may have run it, and the peer counts them, also as repeats in its budget. TestRunsOfOtherInstance guards the count; without it a diverted request has no such count at all.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -65,19 +65,35 @@
 	allowance := policies.CallerAllowance + policies.Overrun.AllowanceFor(r.TargetLatency)
 	j.softDeadline = earlier(request.ArrivedAt.Add(max(r.TargetLatency-allowance, r.TargetLatency/2)), j.hardDeadline)
 	if !r.IsSharded() {
-		j.shards = []*shard{{
-			service: r.ServiceFor(request.ID),
-		}}
+		j.addShard(r.ServiceFor(request.ID))
 		return j
 	}
 	for _, service := range r.Shards {
-		j.shards = append(j.shards, &shard{
-			service: service,
-		})
+		j.addShard(service)
 	}
 	return j
 }
 
+func (j *Job) addShard(service string) {
+	runs := j.request.Runs[service]
+	j.shards = append(j.shards, &shard{
+		service:        service,
+		possibleRuns:   runs,
+		reachedReplica: runs > 0,
+	})
+}
+
+// Runs returns how many replicas of each service may have run the request.
+func (j *Job) Runs() map[string]int {
+	runs := map[string]int{}
+	for _, s := range j.shards {
+		if s.possibleRuns > 0 {
+			runs[s.service] = s.possibleRuns
+		}
+	}
+	return runs
+}
+
 // Decision returns the decision, or nil while there is none.
 func (j *Job) Decision() *Decision { return j.decision }
 
--- /dev/null
+++ b/internal/coordination/scatterer/runs_test.go
@@ -0,0 +1,49 @@
+package scatterer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRunsOfOtherInstance guards against a request that another instance has sent before running on more replicas of a service than its route allows.
+func TestRunsOfOtherInstance(t *testing.T) {
+	cases := []struct {
+		name string
+		runs map[string]int
+		// arrivals is how many attempts of each shard may be sent, all of which fail.
+		arrivals map[string]int
+		kind     DecisionKind
+	}{
+		{"sent nowhere", nil, map[string]int{"shard-0": 2, "shard-1": 2}, Failed},
+		{"sent once", map[string]int{"shard-0": 1, "shard-1": 1}, map[string]int{"shard-0": 1, "shard-1": 1}, Failed},
+		{"sent as often as allowed", map[string]int{"shard-0": 2, "shard-1": 2}, map[string]int{}, Failed},
+		{"one shard", map[string]int{"shard-1": 2}, map[string]int{"shard-0": 2}, Failed},
+	}
+	for _, c := range cases {
+		route := shardedRoute(2, 0.5)
+		p := newPolicies(100, route.Shards...)
+		j := New(Request{
+			Route:     route,
+			ArrivedAt: start,
+			Runs:      c.runs,
+		}, p)
+		arrivals := map[string]int{}
+		now := start
+		for attempts := j.Start(now); len(attempts) > 0; {
+			now = now.Add(time.Millisecond)
+			arrivals[attempts[0].Service]++
+			attempts = append(attempts[1:], j.HandleOutcome(now, attempts[0], outcomeOf(OutcomeBroken))...)
+		}
+		for _, service := range route.Shards {
+			if arrivals[service] != c.arrivals[service] {
+				t.Errorf("%s: %d attempts at %s, want %d", c.name, arrivals[service], service, c.arrivals[service])
+			}
+			if total := j.Runs()[service]; total > route.MaxRuns {
+				t.Errorf("%s: %d runs at %s", c.name, total, service)
+			}
+		}
+		if d := j.Decision(); d == nil || d.Kind != c.kind {
+			t.Errorf("%s: decision %+v", c.name, d)
+		}
+	}
+}
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -19,6 +19,8 @@
 	ArrivedAt   time.Time
 	// Deadline is when the caller gives up; zero if the caller sent none.
 	Deadline time.Time
+	// Runs is how many replicas of a service may have run the request already, sent by another instance.
+	Runs map[string]int
 }
 
 // HeaderField is one header field of a reply.
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -28,6 +28,8 @@
 	call      *exchanger.Call
 	request   scatterer.Request
 	version   uint64
+	// runs is how many replicas of each service may have run the request.
+	runs map[string]int
 	// tried holds the peers that have been asked.
 	tried []*diverter.Peer
 }
@@ -102,6 +104,12 @@
 	if !v.request.Deadline.IsZero() {
 		request.DeadlineUs = uint64(max(time.Microsecond, v.request.Deadline.Sub(now)).Microseconds())
 	}
+	for service, runs := range v.runs {
+		request.Runs = append(request.Runs, &wire.ServiceRuns{
+			Service: service,
+			Runs:    uint32(runs),
+		})
+	}
 	return request
 }
 
--- a/internal/transport/forwarder/divert_service.go
+++ b/internal/transport/forwarder/divert_service.go
@@ -54,10 +54,14 @@
 		Fingerprint: call.Fingerprint(),
 		Route:       route,
 		ArrivedAt:   now.Add(-time.Duration(msg.GetElapsedUs())*time.Microsecond - diversionHop),
+		Runs:        map[string]int{},
 	}
 	if msg.GetDeadlineUs() > 0 {
 		diverted.Deadline = now.Add(time.Duration(msg.GetDeadlineUs())*time.Microsecond - diversionHop)
 	}
+	for _, sent := range msg.GetRuns() {
+		diverted.Runs[sent.GetService()] = int(sent.GetRuns())
+	}
 	answer := f.serveHere(ctx, call, diverted, table.Version)
 	if answer.Decision.Reason == scatterer.ReasonIsolated {
 		return nil, connect.NewError(connect.CodeUnavailable, errIsolated)
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -54,6 +54,7 @@
 	}
 	answer := f.serveHere(ctx, call, request, version)
 	if answer.canDivert() {
+		v.runs = answer.request.runs()
 		if diverted := v.run(ctx); diverted != nil {
 			return *diverted
 		}
@@ -138,6 +139,13 @@
 	}
 }
 
+// runs returns how many replicas of each service may have run the request.
+func (r *activeRequest) runs() map[string]int {
+	r.forwarder.mutex.Lock()
+	defer r.forwarder.mutex.Unlock()
+	return r.job.Runs()
+}
+
 // hasAttempts reports whether attempts were made.
 func (r *activeRequest) hasAttempts() bool { return len(r.attemptEntries) > 0 }
 
