Notice instances that can open no connections, and probe before diverting

Cause: an instance counted as isolated only if no replica responded. A few that still did, over connections from before, hid that the new ones could not be reached.

Replicas that take no connection now count as well, until one is opened. Since replicas that crash take none either, an instance that may be isolated asks three random replicas for their health over new connections, and is isolated only if none responds; the same check ends it. A request that a peer may have run is no longer sent to a second one, which could have run it on more replicas than its route allows; its caller is told at once.

--- a/internal/coordination/diverter/diverter.go
+++ b/internal/coordination/diverter/diverter.go
@@ -12,7 +12,9 @@
 	// patienceFactor is how many times the expected latency a response may take.
 	patienceFactor = 3
 	// maxCheckGap is the longest time between two checks that counts as silence of replicas. After a longer one this process itself may have stood still.
-	maxCheckGap = 200 * time.Millisecond
+	maxCheckGap = 500 * time.Millisecond
+	// minUnreachableReplicas is how many replicas must have taken no connection since the last one that was opened. A single shard's replicas may have failed themselves.
+	minUnreachableReplicas = 3
 	// minSilentReplicas is how many replicas must be silent. A single one may have failed itself.
 	minSilentReplicas = 2
 	// initialBackoff is how long a peer is skipped after its first failure; it doubles with each further failure, up to maxBackoff.
@@ -34,10 +36,12 @@
 	self   string
 	random *rand.Rand
 	// waits holds the replicas that were sent an attempt since the last contact with any replica.
-	waits      map[string]wait
-	lastCheck  time.Time
-	isIsolated bool
-	peers      []*Peer
+	waits map[string]wait
+	// unreachable holds the replicas that have taken no connection since the last one that was opened.
+	unreachable map[string]bool
+	lastCheck   time.Time
+	isIsolated  bool
+	peers       []*Peer
 	// nextPeer is the index of the peer that is chosen next if it is healthy.
 	nextPeer int
 }
@@ -52,9 +56,10 @@
 // New returns a diverter without peers for the entry instance self.
 func New(self string, random *rand.Rand) *Diverter {
 	return &Diverter{
-		self:   self,
-		random: random,
-		waits:  map[string]wait{},
+		self:        self,
+		random:      random,
+		waits:       map[string]wait{},
+		unreachable: map[string]bool{},
 	}
 }
 
@@ -69,18 +74,18 @@
 }
 
 // RecordContact records that a replica has responded.
-func (d *Diverter) RecordContact() {
-	clear(d.waits)
-	d.isIsolated = false
-}
+func (d *Diverter) RecordContact() { clear(d.waits) }
+
+// RecordConnection records that a connection to a replica was opened.
+func (d *Diverter) RecordConnection() { clear(d.unreachable) }
 
-// IsIsolated reports whether this instance reaches no replica: several have been silent for longer than usual since the last contact with any. It remains so until the next contact. It has to be called at short intervals.
-func (d *Diverter) IsIsolated(now time.Time) bool {
+// RecordNoConnection records that the replica has not taken a connection.
+func (d *Diverter) RecordNoConnection(replica string) { d.unreachable[replica] = true }
+
+// IsSuspect reports whether this instance may be isolated: several replicas have been silent for longer than usual since the last contact with any, or have taken no connection since the last one that was opened. Open connections can go on while new ones fail. It has to be called at short intervals.
+func (d *Diverter) IsSuspect(now time.Time) bool {
 	gap := now.Sub(d.lastCheck)
 	d.lastCheck = now
-	if d.isIsolated {
-		return true
-	}
 	if gap > maxCheckGap {
 		d.restartSilence(now)
 	}
@@ -90,10 +95,21 @@
 			silent++
 		}
 	}
-	d.isIsolated = silent >= minSilentReplicas
-	return d.isIsolated
+	return silent >= minSilentReplicas || len(d.unreachable) >= minUnreachableReplicas
 }
 
+// RecordProbes records whether any of several health checks over new connections, to random replicas, got a response. This decides whether the instance is isolated.
+func (d *Diverter) RecordProbes(responded bool) {
+	d.isIsolated = !responded
+	if responded {
+		clear(d.waits)
+		clear(d.unreachable)
+	}
+}
+
+// IsIsolated reports whether this instance reaches no replica.
+func (d *Diverter) IsIsolated() bool { return d.isIsolated }
+
 // restartSilence lets the silence of all replicas begin now.
 func (d *Diverter) restartSilence(now time.Time) {
 	for replica, w := range d.waits {
--- a/internal/coordination/diverter/diverter_test.go
+++ b/internal/coordination/diverter/diverter_test.go
@@ -22,18 +22,18 @@
 	return d
 }
 
-// TestIsolation checks which silence of replicas means that this instance is cut off from them.
-func TestIsolation(t *testing.T) {
+// TestSilence checks which silence of replicas means that this instance may be cut off from them.
+func TestSilence(t *testing.T) {
 	const late = silenceDelay
 	cases := []struct {
 		name string
 		// sent holds the replicas that attempts were sent to at the start.
-		sent       []string
-		contactAt  time.Duration
-		sentAfter  []string
-		checkedAt  time.Duration
-		expected   time.Duration
-		isIsolated bool
+		sent      []string
+		contactAt time.Duration
+		sentAfter []string
+		checkedAt time.Duration
+		expected  time.Duration
+		isSuspect bool
 	}{
 		{"nothing sent", nil, 0, nil, late, 0, false},
 		{"two silent", []string{"1", "2"}, 0, nil, late, 0, true},
@@ -55,54 +55,74 @@
 		for _, replica := range c.sentAfter {
 			d.RecordSent(start.Add(c.contactAt), replica, c.expected)
 		}
-		if got := d.isIsolatedUntil(c.checkedAt); got != c.isIsolated {
-			t.Errorf("%s: isolated: %t", c.name, got)
+		if got := d.checkUntil(c.checkedAt); got != c.isSuspect {
+			t.Errorf("%s: suspect: %t", c.name, got)
 		}
 	}
 }
 
-// isIsolatedUntil checks the isolation at short intervals from the start and returns the last result.
-func (d *Diverter) isIsolatedUntil(end time.Duration) bool {
+// checkUntil checks at short intervals from the start whether the instance may be isolated, and returns the last result.
+func (d *Diverter) checkUntil(end time.Duration) bool {
 	const interval = 50 * time.Millisecond
 	for at := time.Duration(0); at < end; at += interval {
-		d.IsIsolated(start.Add(at))
+		d.IsSuspect(start.Add(at))
 	}
-	return d.IsIsolated(start.Add(end))
+	return d.IsSuspect(start.Add(end))
 }
 
-// TestStallIsNoIsolation checks that an instance that stood still itself does not take that time for silence of the replicas.
-func TestStallIsNoIsolation(t *testing.T) {
+// TestStallIsNoSilence checks that an instance that stood still itself does not take that time for silence of the replicas.
+func TestStallIsNoSilence(t *testing.T) {
 	d := newDiverter()
 	d.RecordSent(start, "1", 0)
 	d.RecordSent(start, "2", 0)
-	d.IsIsolated(start)
+	d.IsSuspect(start)
 	const stall = 5 * time.Second
-	if d.IsIsolated(start.Add(stall)) {
-		t.Error("isolated right after a stall")
+	if d.IsSuspect(start.Add(stall)) {
+		t.Error("suspect right after a stall")
 	}
 	for at := stall; at < stall+silenceDelay; at += 50 * time.Millisecond {
-		d.IsIsolated(start.Add(at))
+		d.IsSuspect(start.Add(at))
 	}
-	if !d.IsIsolated(start.Add(stall + silenceDelay)) {
-		t.Error("not isolated although the replicas remain silent")
+	if !d.IsSuspect(start.Add(stall + silenceDelay)) {
+		t.Error("not suspect although the replicas remain silent")
 	}
 }
 
-// TestIsolationLastsUntilContact checks that an isolated instance that sends nothing remains isolated until it reaches a replica.
-func TestIsolationLastsUntilContact(t *testing.T) {
+// TestNewConnectionsFail checks that replicas that take no connections make an instance suspect although others respond over open ones.
+func TestNewConnectionsFail(t *testing.T) {
 	d := newDiverter()
-	for _, replica := range []string{"1", "2", "3"} {
-		d.RecordSent(start, replica, 0)
+	for range 5 {
+		d.RecordNoConnection("1")
+		d.RecordNoConnection("2")
+		d.RecordContact()
 	}
-	d.isIsolatedUntil(silenceDelay)
-	for _, after := range []time.Duration{silenceDelay, time.Minute} {
-		if !d.IsIsolated(start.Add(after)) {
-			t.Errorf("not isolated after %s", after)
-		}
+	if d.IsSuspect(start) {
+		t.Error("suspect because of two replicas")
+	}
+	d.RecordNoConnection("3")
+	if !d.IsSuspect(start) {
+		t.Error("not suspect because of three replicas")
 	}
+	d.RecordConnection()
+	if d.IsSuspect(start) {
+		t.Error("suspect after a connection was opened")
+	}
+}
+
+// TestProbesDecide checks that an instance is isolated by the result of its probes alone, until others get a response.
+func TestProbesDecide(t *testing.T) {
+	d := newDiverter()
+	d.RecordProbes(false)
 	d.RecordContact()
-	if d.IsIsolated(start.Add(time.Hour)) {
-		t.Error("isolated after a contact")
+	d.RecordConnection()
+	if !d.IsIsolated() {
+		t.Error("not isolated after probes without a response")
+	}
+	d.RecordNoConnection("1")
+	d.RecordSent(start, "2", 0)
+	d.RecordProbes(true)
+	if d.IsIsolated() || len(d.waits)+len(d.unreachable) > 0 {
+		t.Error("isolated, or suspect, after a probe with a response")
 	}
 }
 
--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -86,7 +86,7 @@
 		Kind:          Failed,
 		Reason:        ReasonReplicaFailed,
 		MissingShards: len(j.shards) - j.answeredCount(),
-		RetryAfter:    retryAfterFailure,
+		RetryAfter:    RetryAfterFailure,
 	}
 	switch {
 	case !mayHaveRun && rejected:
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -28,8 +28,8 @@
 	defaultHedgeShare = 0.35
 	// minObservedShare is the share of the target latency that an attempt must have had for its lateness to count as congestion.
 	minObservedShare = 0.3
-	// retryAfterFailure is the Retry-After of a request that found no replica, failed or expired: about one short backoff of a replica.
-	retryAfterFailure = 250 * time.Millisecond
+	// RetryAfterFailure is the Retry-After of a request that found no replica, failed or expired: about one short backoff of a replica.
+	RetryAfterFailure = 250 * time.Millisecond
 	// retryAfterOverload is the Retry-After of a request that was refused because of load.
 	retryAfterOverload = 100 * time.Millisecond
 )
@@ -133,7 +133,7 @@
 		j.setDecision(Decision{
 			Kind:       Refused,
 			Reason:     ReasonNoReplica,
-			RetryAfter: retryAfterFailure,
+			RetryAfter: RetryAfterFailure,
 		})
 		return nil
 	}
@@ -347,7 +347,7 @@
 	j.setDecision(Decision{
 		Kind:       Refused,
 		Reason:     reason,
-		RetryAfter: retryAfterFailure,
+		RetryAfter: RetryAfterFailure,
 	})
 }
 
@@ -360,7 +360,7 @@
 		j.setDecision(Decision{
 			Kind:       Failed,
 			Reason:     reason,
-			RetryAfter: retryAfterFailure,
+			RetryAfter: RetryAfterFailure,
 		})
 	}
 }
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -82,6 +82,8 @@
 	Notice *balancer.Notice
 	// ConnectionLost is set if the replica's side ended the connection before the response was complete, as when the replica crashes.
 	ConnectionLost bool
+	// NoConnection is set if the replica took no connection from this instance.
+	NoConnection bool
 	// Cause describes the failure in a few words for the log.
 	Cause string
 }
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -188,7 +188,9 @@
 	for {
 		conn, err := e.pools.acquire(x, target, call.AtMostOnce)
 		if err != nil {
-			return unsentOutcome(x, "no connection: "+causeOf(err))
+			outcome := unsentOutcome(x, "no connection: "+causeOf(err))
+			outcome.NoConnection = isDialError(err) && !x.isAbandoned()
+			return outcome
 		}
 		retry, outcome := e.attempt(x, conn, call, target, stopWork)
 		if !retry {
@@ -368,6 +370,12 @@
 	return outcome
 }
 
+// isDialError reports whether a connection could not be opened, as opposed to one that did not become free in time.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // isConnectionLost reports whether the other side has ended the connection.
 func isConnectionLost(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -16,7 +16,7 @@
 const (
 	// maxDiversions is how many peers are asked to answer one request.
 	maxDiversions = 3
-	// minDiversionTimeout is the shortest time for which a peer is waited for if another one may be asked.
+	// minDiversionTimeout is the shortest time for which a peer is waited for.
 	minDiversionTimeout = 300 * time.Millisecond
 	// diversionHop is the time of the message to the peer, by which the request is older when it arrives there.
 	diversionHop = time.Millisecond
@@ -50,7 +50,8 @@
 			return v.newAnswer(response)
 		case ctx.Err() != nil:
 			return v.newFailure(scatterer.ReasonCallerGone)
-		case !isUnsent(err) && !v.request.Route.Idempotent:
+		case !isUnsent(err):
+			// The peer may have sent the request to as many replicas as the route allows.
 			return v.newFailure(scatterer.ReasonPeerFailed)
 		}
 	}
@@ -68,7 +69,7 @@
 	return peer
 }
 
-// ask sends the request to a peer. A request that may run more than once waits for the peer only as long as another one could still answer.
+// ask sends the request to a peer. A request that may run more than once does not wait for the peer until its deadline, since its caller may still get an answer at the next try.
 func (v *diversion) ask(ctx context.Context, peer *diverter.Peer) (*wire.DivertResponse, error) {
 	now := time.Now()
 	deadline := now.Add(v.request.Route.Timeout)
@@ -150,8 +151,9 @@
 // newFailure returns the answer to a request that may have run at a peer.
 func (v *diversion) newFailure(reason scatterer.Reason) *Answer {
 	d := scatterer.Decision{
-		Kind:   scatterer.Failed,
-		Reason: reason,
+		Kind:       scatterer.Failed,
+		Reason:     reason,
+		RetryAfter: scatterer.RetryAfterFailure,
 	}
 	v.recordDecision(&d)
 	return &Answer{
--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -124,8 +124,10 @@
 type strandedFixture struct {
 	instances []*Forwarder
 	links     [2][]*link
-	runs      sync.Map
-	nextID    atomic.Int64
+	// modes holds how the links of each instance behave.
+	modes  [2]cutMode
+	runs   sync.Map
+	nextID atomic.Int64
 }
 
 // The indexes of the routes in strandedRoutes.
@@ -137,6 +139,8 @@
 const (
 	// strandedShards is the number of shards, each with two replicas.
 	strandedShards = 5
+	// healthPath is the path of health checks.
+	healthPath = "/health"
 	// strandedTarget is the target latency of the routes.
 	strandedTarget = 300 * time.Millisecond
 )
@@ -162,12 +166,33 @@
 		f.routingTable.Store(table)
 		f.peers.update(entries)
 	}
+	sf.addReplicas(t, "a")
+	return sf
+}
+
+// addReplicas adds two replicas to each shard, whose IDs contain the name of the set.
+func (sf *strandedFixture) addReplicas(t *testing.T, set string) {
+	t.Helper()
 	for shard := range strandedShards {
 		for number := range 2 {
-			sf.addReplica(t, shardName(shard), fmt.Sprintf("%s-%d", shardName(shard), number))
+			sf.addReplica(t, shardName(shard), replicaID(shard, set, number))
+		}
+	}
+}
+
+// removeReplicas removes the replicas of a set, except those of the last shard.
+func (sf *strandedFixture) removeReplicas(set string) {
+	for _, f := range sf.instances {
+		for shard := range strandedShards - 1 {
+			for number := range 2 {
+				f.removeReplica(replicaID(shard, set, number))
+			}
 		}
 	}
-	return sf
+}
+
+func replicaID(shard int, set string, number int) string {
+	return fmt.Sprintf("%s-%s-%d", shardName(shard), set, number)
 }
 
 // strandedRoutes returns a route over all shards, and one for requests that may run once.
@@ -202,6 +227,7 @@
 	for shard := range strandedShards {
 		services = append(services, matcher.Service{
 			Name:           shardName(shard),
+			HealthPath:     healthPath,
 			MaxConnections: 100,
 		})
 	}
@@ -213,6 +239,9 @@
 func (sf *strandedFixture) addReplica(t *testing.T, service, id string) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.RequestURI == healthPath {
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		runs, _ := sf.runs.LoadOrStore(r.RequestURI, new(atomic.Int64))
 		runs.(*atomic.Int64).Add(1)
@@ -224,6 +253,9 @@
 		address := server.Listener.Addr().String()
 		if i < len(sf.links) {
 			l := newLink(t, address)
+			if sf.modes[i] != cutNone {
+				l.setMode(sf.modes[i])
+			}
 			sf.links[i] = append(sf.links[i], l)
 			address = l.address
 		}
@@ -239,6 +271,7 @@
 
 // cut sets the mode of all links of the instance.
 func (sf *strandedFixture) cut(instance int, mode cutMode) {
+	sf.modes[instance] = mode
 	for _, l := range sf.links[instance] {
 		l.setMode(mode)
 	}
@@ -306,6 +339,8 @@
 	mode      cutMode
 	route     int
 	peerIsCut bool
+	// replaces is set if other replicas take the place of most while the links are cut.
+	replaces bool
 }
 
 // run checks that callers are answered while the links are cut and afterwards.
@@ -325,6 +360,10 @@
 	if c.peerIsCut {
 		sf.cut(1, c.mode)
 	}
+	if c.replaces {
+		sf.addReplicas(t, "b")
+		sf.removeReplicas("a")
+	}
 	sf.sendAll(t.Context(), c.route, settleTime)
 	during := sf.sendAll(t.Context(), c.route, measureTime)
 	if during.share(&during.answered) < minShare || during.late.Load() > 0 {
@@ -375,3 +414,18 @@
 		}
 	}
 }
+
+// TestStrandedInstanceMeetsNewReplicas guards against an instance that can't open connections, but keeps those that it has, failing its callers once other replicas take the place of most.
+func TestStrandedInstanceMeetsNewReplicas(t *testing.T) {
+	for name, route := range map[string]int{
+		"shards":       routeAll,
+		"at most once": routeOnce,
+	} {
+		c := strandedCase{
+			mode:     cutRefuse,
+			route:    route,
+			replaces: true,
+		}
+		t.Run(name, c.run)
+	}
+}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -102,7 +102,7 @@
 		Overrun:         &scatterer.Overrun{},
 	}
 	f.balancer.SetInstances(f.entryInstances)
-	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.meter.recordConnection)
+	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.recordConnection)
 	f.directory = newDirectory(f)
 	f.requestLog = newRequestLogger(f.log, f.meter)
 	f.peers = newPeers(f)
--- a/internal/transport/forwarder/isolation.go
+++ b/internal/transport/forwarder/isolation.go
@@ -7,15 +7,19 @@
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/transport/exchanger"
 )
 
 const (
-	// isolationCheckInterval is the interval at which an isolation is noticed.
+	// isolationCheckInterval is the interval at which a possible isolation is noticed.
 	isolationCheckInterval = 50 * time.Millisecond
-	// probeInterval is the interval of the health checks by which an isolated instance finds out whether it reaches replicas again.
+	// probeInterval is the shortest interval of the health checks by which an instance finds out whether it reaches replicas.
 	probeInterval = 200 * time.Millisecond
 	// probeTimeout limits one health check.
 	probeTimeout = 200 * time.Millisecond
+	// probedReplicas is how many replicas are asked at once. One of them may be paused or down.
+	probedReplicas = 3
 )
 
 // isolationMonitor tracks whether this instance reaches replicas, and probes them while it reaches none.
@@ -48,9 +52,8 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			m.check(now)
-			if m.isIsolated() && now.Sub(lastProbe) >= probeInterval {
-				m.probe()
+			if m.needsProbes(now) && now.Sub(lastProbe) >= probeInterval {
+				m.recordProbes(m.probe())
 				lastProbe = time.Now()
 			}
 		case <-m.ctx.Done():
@@ -64,22 +67,30 @@
 	<-m.done
 }
 
-// check updates and logs whether the instance is isolated.
-func (m *isolationMonitor) check(now time.Time) {
+// needsProbes reports whether the instance is isolated or may be.
+func (m *isolationMonitor) needsProbes(now time.Time) bool {
 	f := m.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	isolated := f.diverter.IsIsolated(now)
+	return f.diverter.IsSuspect(now) || f.diverter.IsIsolated()
+}
+
+// recordProbes updates and logs whether the instance is isolated.
+func (m *isolationMonitor) recordProbes(responded bool) {
+	f := m.forwarder
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.diverter.RecordProbes(responded)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if isolated == m.isolated {
+	if m.isolated == !responded {
 		return
 	}
+	m.isolated = !responded
 	// Answers that were late because of the isolation are no congestion.
 	f.policies.Shedder.Reset()
-	m.isolated = isolated
-	f.log.Info("reachability of replicas changed", "isolated", isolated)
-	if isolated {
+	f.log.Info("reachability of replicas changed", "isolated", m.isolated)
+	if m.isolated {
 		close(m.begun)
 	} else {
 		m.begun = make(chan struct{})
@@ -99,21 +110,44 @@
 	return m.begun
 }
 
-// probe asks a random replica for its health. Any response shows that it is reachable.
-func (m *isolationMonitor) probe() {
+// probe asks random replicas for their health, all at once, and reports whether any has responded.
+func (m *isolationMonitor) probe() bool {
 	f := m.forwarder
 	f.mutex.Lock()
 	replicas := f.balancer.Replicas()
 	f.mutex.Unlock()
-	if len(replicas) == 0 {
-		return
-	}
-	replica := replicas[rand.IntN(len(replicas))]
 	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
 	defer cancel()
-	if f.exchanger.Probe(ctx, replica.Address, f.healthPath(replica.Service)) == nil {
-		f.recordContact()
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	replicas = replicas[:min(probedReplicas, len(replicas))]
+	results := make(chan error, len(replicas))
+	for _, replica := range replicas {
+		p := &replicaProbe{
+			exchanger: f.exchanger,
+			address:   replica.Address,
+			path:      f.healthPath(replica.Service),
+			result:    results,
+		}
+		go p.run(ctx)
+	}
+	for range replicas {
+		if <-results == nil {
+			return true
+		}
 	}
+	return len(replicas) == 0
+}
+
+// replicaProbe is one health check.
+type replicaProbe struct {
+	exchanger *exchanger.Exchanger
+	address   string
+	path      string
+	result    chan<- error
+}
+
+func (p *replicaProbe) run(ctx context.Context) {
+	p.result <- p.exchanger.Probe(ctx, p.address, p.path)
 }
 
 // healthPath returns the path of the health checks of the service's replicas.
@@ -133,9 +167,20 @@
 	f.diverter.RecordSent(time.Now(), replica.ID, replica.Latency())
 }
 
-// recordContact records that a replica has responded.
-func (f *Forwarder) recordContact() {
+// recordConnection records that a connection to a replica was opened.
+func (f *Forwarder) recordConnection() {
+	f.meter.recordConnection()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.diverter.RecordContact()
+	f.diverter.RecordConnection()
+}
+
+// recordPath records what an attempt that this instance has sent says about the path to the replica; the mutex must be held.
+func (f *Forwarder) recordPath(replica string, outcome *scatterer.Outcome) {
+	if outcome.IsResponse() {
+		f.diverter.RecordContact()
+	}
+	if outcome.NoConnection {
+		f.diverter.RecordNoConnection(replica)
+	}
 }
--- a/internal/transport/forwarder/notices.go
+++ b/internal/transport/forwarder/notices.go
@@ -5,20 +5,22 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-// recordNotice records what a replica says of itself in the response to a peer's attempt; nil is ignored.
-func (f *Forwarder) recordNotice(r *balancer.ReplicaState, notice *balancer.Notice) {
-	if notice == nil {
-		return
-	}
+// recordRelayed records what the end of a peer's attempt says about the replica and the path to it.
+func (f *Forwarder) recordRelayed(r *balancer.ReplicaState, outcome *scatterer.Outcome) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.recordPath(r.ID, outcome)
+	if outcome.Notice == nil {
+		return
+	}
 	now := time.Now()
 	before := r.Notice(now)
-	f.balancer.RecordNotice(now, r, *notice)
+	f.balancer.RecordNotice(now, r, *outcome.Notice)
 	f.logNotice(now, r, before)
 }
 
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -142,10 +142,7 @@
 	r := a.relay
 	r.forwarder.recordSent(a.replica)
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
-	if outcome.IsResponse() {
-		r.forwarder.recordContact()
-	}
-	r.forwarder.recordNotice(a.replica, outcome.Notice)
+	r.forwarder.recordRelayed(a.replica, &outcome)
 	part := &wire.RelayPart{
 		Number:  a.number,
 		Outcome: uint32(outcome.Kind),
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -315,9 +315,7 @@
 	outcome := f.exchanger.Do(a.exchange, r.call, a.target, a.attempt.Deadline)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if outcome.IsResponse() {
-		f.diverter.RecordContact()
-	}
+	f.recordPath(a.target.Replica, &outcome)
 	now := time.Now()
 	r.advance(now, r.handleOutcome(now, a.attempt, outcome))
 }
