Prefer peers that have answered while an instance is isolated

Peers that have answered now take turns by themselves once there are three of them, or after one peer has refused; up to six are asked. In TestIsolatedPeersAreAvoided, 60 requests in a fleet of which 50 of 72 are isolated met 100 refusals before, at most 20 now.

--- a/internal/coordination/diverter/diverter.go
+++ b/internal/coordination/diverter/diverter.go
@@ -17,6 +17,8 @@
 	minUnreachableReplicas = 3
 	// minSilentReplicas is how many replicas must be silent. A single one may have failed itself.
 	minSilentReplicas = 2
+	// minProvenPeers is how many peers share the requests at least, as far as there are so many.
+	minProvenPeers = 3
 	// initialBackoff is how long a peer is skipped after its first failure; it doubles with each further failure, up to maxBackoff.
 	initialBackoff = 250 * time.Millisecond
 	maxBackoff     = 2 * time.Second
@@ -29,6 +31,8 @@
 
 	failures     int
 	backoffUntil time.Time
+	// hasAnswered is set if the peer has answered its last request.
+	hasAnswered bool
 }
 
 // Diverter tracks whether replicas respond to this instance, and the peers that may answer requests in its place. It is not safe for concurrent use.
@@ -141,26 +145,43 @@
 	}
 }
 
-// Choose returns the next healthy peer that is not in avoid, or nil if there is none. Successive calls return the peers in turn, which spreads the load.
+// Choose returns the next healthy peer that is not in avoid, or nil if there is none. Successive calls return the peers in turn, which spreads the load. Once enough peers have answered, or another one did not, only those that have answered take turns, since the others may be isolated as well.
 func (d *Diverter) Choose(now time.Time, avoid []*Peer) *Peer {
-	for range d.peers {
-		d.nextPeer = (d.nextPeer + 1) % len(d.peers)
-		p := d.peers[d.nextPeer]
-		if !now.Before(p.backoffUntil) && !slices.Contains(avoid, p) {
-			return p
+	var healthy, proven []int
+	for i := range d.peers {
+		// The search starts behind the peer that was chosen last.
+		index := (d.nextPeer + 1 + i) % len(d.peers)
+		p := d.peers[index]
+		if now.Before(p.backoffUntil) || slices.Contains(avoid, p) {
+			continue
+		}
+		healthy = append(healthy, index)
+		if p.hasAnswered {
+			proven = append(proven, index)
 		}
 	}
-	return nil
+	if len(proven) >= minProvenPeers || len(proven) > 0 && len(avoid) > 0 {
+		healthy = proven
+	}
+	if len(healthy) == 0 {
+		return nil
+	}
+	d.nextPeer = healthy[0]
+	return d.peers[d.nextPeer]
 }
 
 // RecordAnswer records that the peer has answered a request.
-func (d *Diverter) RecordAnswer(p *Peer) { p.failures = 0 }
+func (d *Diverter) RecordAnswer(p *Peer) {
+	p.failures = 0
+	p.hasAnswered = true
+}
 
 // RecordFailure records that the peer did not answer a request, and skips it for a while. Requests that were sent before the skip count as one failure.
 func (d *Diverter) RecordFailure(now time.Time, p *Peer) {
 	if now.Before(p.backoffUntil) {
 		return
 	}
+	p.hasAnswered = false
 	p.backoffUntil = now.Add(min(initialBackoff<<min(p.failures, 10), maxBackoff))
 	p.failures++
 }
--- a/internal/coordination/diverter/diverter_test.go
+++ b/internal/coordination/diverter/diverter_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -160,3 +161,37 @@
 		t.Error("a peer that is still listed lost its state")
 	}
 }
+
+// TestIsolatedPeersAreAvoided checks that in a fleet of which most are isolated, requests soon meet no isolated peer, and are spread over several others.
+func TestIsolatedPeersAreAvoided(t *testing.T) {
+	const (
+		fleet    = 72
+		isolated = 50
+		requests = 60
+		interval = 500 * time.Millisecond
+	)
+	var names []string
+	for i := range fleet {
+		names = append(names, strconv.Itoa(i))
+	}
+	d := newDiverter(names...)
+	refusals := 0
+	answers := map[string]int{}
+	for i := range requests {
+		now := start.Add(time.Duration(i) * interval)
+		var tried []*Peer
+		for p := d.Choose(now, tried); p != nil; p = d.Choose(now, tried) {
+			tried = append(tried, p)
+			if number, _ := strconv.Atoi(p.Instance); number >= isolated {
+				d.RecordAnswer(p)
+				answers[p.Instance]++
+				break
+			}
+			d.RecordFailure(now, p)
+			refusals++
+		}
+	}
+	if refusals > requests/3 || len(answers) < minProvenPeers {
+		t.Errorf("%d refusals of %d requests, answers by %d peers", refusals, requests, len(answers))
+	}
+}
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxDiversions is how many peers are asked to answer one request.
-	maxDiversions = 3
+	// maxDiversions is how many peers are asked to answer one request. Most may be isolated as well; these say so within a round trip.
+	maxDiversions = 6
 	// minDiversionTimeout is the shortest time for which a peer is waited for.
 	minDiversionTimeout = 300 * time.Millisecond
 	// diversionHop is the time of the message to the peer, by which the request is older when it arrives there.
