Relay nothing more to a zone after one of its peers is isolated

Cause: an instance that relayed attempts to that zone met its 20 isolated peers one after the other, each request anew after half a second.

A peer that reaches no replica is now skipped for 2 s, and the other attempts of that request to its zone go directly. TestIsolatedPeer shows the skip, TestIsolatedZoneHarmsNoOthers that others serve; the latter was not run without the change.

--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -14,6 +14,8 @@
 	// initialBackoff is how long a peer is skipped after its first failure; it doubles with each further failure, up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 4 * time.Second
+	// isolationBackoff is how long a peer that reaches no replica is skipped. Its zone often has others like it, which are met one after the other.
+	isolationBackoff = 2 * time.Second
 )
 
 // Peer is an entry instance in another availability zone.
@@ -131,8 +133,10 @@
 	p.failures++
 }
 
-// RecordIsolation records that the peer has refused a call because it reaches no replica, and reports whether this is news.
-func (r *Relayer) RecordIsolation(p *Peer) bool {
+// RecordIsolation records that the peer has refused the call started at startedAt because it reaches no replica. It skips the peer and reports whether this is news.
+func (r *Relayer) RecordIsolation(now time.Time, p *Peer, startedAt time.Time) bool {
+	p.removeUnanswered(startedAt)
+	p.backoffUntil = now.Add(isolationBackoff)
 	isNews := !p.isIsolated
 	p.isIsolated = true
 	return isNews
--- a/internal/coordination/relayer/relayer_test.go
+++ b/internal/coordination/relayer/relayer_test.go
@@ -98,3 +98,27 @@
 		t.Errorf("chose %+v with every peer to avoid, want the first", p)
 	}
 }
+
+// TestIsolatedPeer checks that a peer that reaches no replica is skipped for longer than after a failure, and that its isolation is news once, until it responds again.
+func TestIsolatedPeer(t *testing.T) {
+	r := newRelayer()
+	p := r.Choose(start, "b", nil)
+	r.RecordStart(start, p)
+	if !r.RecordIsolation(start, p, start) {
+		t.Error("the first refusal is no news")
+	}
+	if got := r.Choose(start.Add(isolationBackoff-1), "b", nil); got == p {
+		t.Error("chose the peer during its backoff")
+	}
+	again := start.Add(isolationBackoff)
+	if got := r.Choose(again, "b", nil); got != p {
+		t.Error("did not choose the peer after its backoff")
+	}
+	if r.RecordIsolation(again, p, again) {
+		t.Error("the second refusal is news")
+	}
+	r.RecordResponse(p, again)
+	if !r.RecordIsolation(again, p, again) {
+		t.Error("a refusal after a response is no news")
+	}
+}
--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -125,9 +125,11 @@
 	instances []*Forwarder
 	links     [2][]*link
 	// modes holds how the links of each instance behave.
-	modes  [2]cutMode
-	runs   sync.Map
-	nextID atomic.Int64
+	modes [2]cutMode
+	runs  sync.Map
+	// receiver is the index of the instance that receives requests.
+	receiver int
+	nextID   atomic.Int64
 }
 
 // The indexes of the routes in strandedRoutes.
@@ -277,9 +279,9 @@
 	}
 }
 
-// send sends a request on the route to the first instance.
+// send sends a request on the route to the instance that receives requests.
 func (sf *strandedFixture) send(ctx context.Context, route int) Answer {
-	f := sf.instances[0]
+	f := sf.instances[sf.receiver]
 	table := f.RoutingTable()
 	id := fmt.Sprint(sf.nextID.Add(1))
 	call := &exchanger.Call{
@@ -308,7 +310,7 @@
 	return float64(count.Load()) / float64(a.sent.Load())
 }
 
-// sendAll sends requests on the route to the first instance for the duration and counts the answers.
+// sendAll sends requests on the route for the duration and counts the answers.
 func (sf *strandedFixture) sendAll(ctx context.Context, route int, duration time.Duration) *answerCounts {
 	const interval = 10 * time.Millisecond
 	var wait sync.WaitGroup
@@ -429,3 +431,20 @@
 		t.Run(name, c.run)
 	}
 }
+
+// TestIsolatedZoneHarmsNoOthers guards against an instance failing its callers because it relays attempts through a zone whose instances all reach no replica.
+func TestIsolatedZoneHarmsNoOthers(t *testing.T) {
+	sf := newStrandedFixture(t)
+	sf.cut(0, cutHang)
+	sf.cut(1, cutHang)
+	// The instances of the zone notice that they are isolated by requests of their own.
+	for sf.receiver = range 2 {
+		sf.sendAll(t.Context(), routeAll, time.Second)
+	}
+	sf.receiver = 2
+	sf.sendAll(t.Context(), routeAll, time.Second)
+	answers := sf.sendAll(t.Context(), routeAll, time.Second)
+	if answers.share(&answers.whole) < 0.99 || answers.late.Load() > 0 {
+		t.Errorf("%.2f answered whole, %d late", answers.share(&answers.whole), answers.late.Load())
+	}
+}
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -52,7 +52,9 @@
 	isAbandoned bool
 	// hasUnsent is set if the peer left an attempt unsent, for example because it does not know the replica.
 	hasUnsent bool
-	pending   []*scatterer.Attempt
+	// isPeerIsolated is set if the peer reaches no replica.
+	isPeerIsolated bool
+	pending        []*scatterer.Attempt
 }
 
 // cancelAfter cancels the call after the delay, because its results are no longer needed.
@@ -137,16 +139,14 @@
 	}
 	switch {
 	case o.hasResponse:
+	case listener.ErrorDetail[*wire.Isolated](err) != nil:
+		o.recordIsolation()
 	case o.isAbandoned:
 		f.peers.relayer.RecordCancellation(time.Now(), o.peer, o.startedAt)
 	default:
 		f.peers.relayer.RecordFailure(time.Now(), o.peer, o.startedAt)
 		f.log.Info("peer failed to relay attempts", "request", o.owner.call.ID, "peer", o.peer.Instance, "attempts", len(o.pending), "cause", causeOf(err))
 	}
-	if listener.ErrorDetail[*wire.Isolated](err) != nil && f.peers.relayer.RecordIsolation(o.peer) {
-		// Attempts that were late because they went through this peer are no congestion.
-		f.policies.Shedder.Reset()
-	}
 	if o.isAbandoned {
 		outcome.Cause = scatterer.CauseCancelled
 	}
@@ -160,6 +160,17 @@
 	o.owner.advance(now, attempts)
 }
 
+// recordIsolation handles a refusal because the peer reaches no replica; the mutex must be held.
+func (o *outgoingRelay) recordIsolation() {
+	f := o.owner.forwarder
+	o.isPeerIsolated = true
+	if f.peers.relayer.RecordIsolation(time.Now(), o.peer, o.startedAt) {
+		// Attempts that were late because they went through this peer are no congestion.
+		f.policies.Shedder.Reset()
+		f.log.Info("peer reaches no replica", "peer", o.peer.Instance, "peer-zone", o.peer.Zone)
+	}
+}
+
 // isUnsent reports whether the error proves that no attempt was sent, because the peer could not be dialed or is stopping.
 func isUnsent(err error) bool {
 	var opErr *net.OpError
--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -41,7 +41,7 @@
 	}
 	for key, group := range groups {
 		peer := f.peers.relayer.Choose(now, key.zone, r.peersToAvoid())
-		if peer == nil || r.hasUnsentBy(peer) || len(group) < minRelayedAttempts && f.replicaConnections(group[0].Service).OtherZones > 0 {
+		if peer == nil || r.hasUnsentBy(peer) || r.hasIsolatedPeer(key.zone) || len(group) < minRelayedAttempts && f.replicaConnections(group[0].Service).OtherZones > 0 {
 			direct = append(direct, group...)
 			continue
 		}
@@ -65,3 +65,8 @@
 func (r *activeRequest) hasUnsentBy(peer *relayer.Peer) bool {
 	return slices.ContainsFunc(r.relays, func(o *outgoingRelay) bool { return o.peer == peer && o.hasUnsent })
 }
+
+// hasIsolatedPeer reports whether a peer of the availability zone has refused a relay of this request because it reaches no replica. The others there may be isolated as well, so that a direct connection is the better bet.
+func (r *activeRequest) hasIsolatedPeer(zone string) bool {
+	return slices.ContainsFunc(r.relays, func(o *outgoingRelay) bool { return o.isPeerIsolated && o.peer.Zone == zone })
+}
