Send requests with a body directly

An older peer would ignore a body that a relay carried. TestRequestWithBodyIsNotRelayed failed before: no connection from the instance itself.

--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -19,10 +19,10 @@
 	isFirst bool
 }
 
-// relayAttempts starts relays for the attempts that go through peers and returns those to send directly; the mutex must be held.
+// relayAttempts starts relays for the attempts that go through peers and returns those to send directly; the mutex must be held. Relays carry no body.
 func (r *activeRequest) relayAttempts(now time.Time, attempts []*scatterer.Attempt) []*scatterer.Attempt {
 	f := r.forwarder
-	if !r.request.Route.IsSharded() || f.settings.ListenPeers == "" {
+	if !r.request.Route.IsSharded() || f.settings.ListenPeers == "" || len(r.call.Body) > 0 {
 		return attempts
 	}
 	groups := map[relayGroupKey][]*scatterer.Attempt{}
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -107,6 +107,8 @@
 	isLimited atomic.Bool
 	isLeaving atomic.Bool
 	route     *matcher.Route
+	// body is the body of the requests.
+	body []byte
 }
 
 func newRelayFixture(t *testing.T) *relayFixture {
@@ -214,6 +216,7 @@
 		Header: http.Header{
 			"Kept": {"yes"},
 		},
+		Body: rf.body,
 	}, scatterer.Request{
 		ID:        "1",
 		Route:     rf.route,
@@ -454,3 +457,13 @@
 		t.Errorf("%d connections to another zone and %d requests, want none", rf.near.exchanger.OpenConnections(), rf.replicaRequests.Load())
 	}
 }
+
+// TestRequestWithBodyIsNotRelayed guards against replicas running a request without its body, which relays do not carry.
+func TestRequestWithBodyIsNotRelayed(t *testing.T) {
+	rf := newRelayFixture(t)
+	rf.body = []byte("content")
+	rf.requireCompleteAnswer(t)
+	if got := rf.near.exchanger.OpenConnections(); got < relayShards {
+		t.Errorf("%d connections from the instance itself, want one to each of %d shards", got, relayShards)
+	}
+}
