Do not say of a diverted request that it has not run if it may have

Found by reading: a peer that took over a request under way and refused it for load or for lack of replicas answered 503, which states that nothing ran, while the instance before had sent it to replicas. Such a request now ends as failed.

TestRunElsewhereIsNotRefused failed before: refused.

--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -103,7 +103,13 @@
 	j.setDecision(d)
 }
 
-func (j *Job) setDecision(d Decision) { j.decision = &d }
+// setDecision makes the decision. A request that another instance has sent is not refused, which would state that it has not run.
+func (j *Job) setDecision(d Decision) {
+	if d.Kind == Refused && len(j.request.Runs) > 0 {
+		d.Kind = Failed
+	}
+	j.decision = &d
+}
 
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/coordination/scatterer/runs_test.go
+++ b/internal/coordination/scatterer/runs_test.go
@@ -47,3 +47,23 @@
 		}
 	}
 }
+
+// TestRunElsewhereIsNotRefused guards against telling a caller that its request has not run although another instance has sent it.
+func TestRunElsewhereIsNotRefused(t *testing.T) {
+	route := shardedRoute(2, 0.5)
+	for _, runs := range []map[string]int{nil, {"shard-0": 1}} {
+		j := New(Request{
+			Route:     route,
+			ArrivedAt: start,
+			Runs:      runs,
+		}, newPolicies(100))
+		j.Start(start)
+		want := Refused
+		if len(runs) > 0 {
+			want = Failed
+		}
+		if d := j.Decision(); d == nil || d.Kind != want || d.RetryAfter == 0 {
+			t.Errorf("runs %v: decision %+v, want %s", runs, d, want)
+		}
+	}
+}
