--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -43,13 +43,18 @@
 	conns    []net.Conn
 }
 
+// linkCount counts the links of all tests.
+var linkCount atomic.Int64
+
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
 	l := &link{
 		t:      t,
 		target: target,
 	}
-	l.listen("127.0.0.1:0")
+	// An address of its own keeps the port free for the link while it does not listen.
+	number := linkCount.Add(1)
+	l.listen(fmt.Sprintf("127.77.%d.%d:0", number/250, number%250+1))
 	l.address = l.listener.Addr().String()
 	t.Cleanup(func() { l.setMode(cutReset) })
 	return l
