Count an attempt after an unsent one as a retry

After a peer left a shard's first attempt unsent, the next one was called a first attempt again, so that the retry budget counted the request twice, the shedder took it for a first attempt, and it was relayed again.

TestUnsentAttemptIsRetried failed before.

--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	kind := AttemptRetry
-	if len(s.triedReplicas) == 0 {
+	if !s.wasPlaced {
 		kind = AttemptFirst
 	}
 	a := j.placeAttempt(now, i, s, kind)
@@ -103,6 +103,7 @@
 	j.policies.Balancer.RecordStart(now, replica)
 	s.pending = append(s.pending, a)
 	s.triedReplicas = append(s.triedReplicas, replica.ID)
+	s.wasPlaced = true
 	s.possibleRuns++
 	return a
 }
--- a/internal/coordination/scatterer/runs_test.go
+++ b/internal/coordination/scatterer/runs_test.go
@@ -67,3 +67,16 @@
 		}
 	}
 }
+
+// TestUnsentAttemptIsRetried guards against an attempt after one that a peer did not send counting as a further request in the retry budget.
+func TestUnsentAttemptIsRetried(t *testing.T) {
+	route := shardedRoute(2, 1)
+	j := newJob(route, newPolicies(100, route.Shards...))
+	next := j.HandleOutcome(start, j.Start(start)[0], Outcome{
+		Kind:  OutcomeUnsent,
+		Cause: CausePeerFailed,
+	})
+	if len(next) != 1 || next[0].Kind != AttemptRetry {
+		t.Errorf("%d attempts, want a retry", len(next))
+	}
+}
--- a/internal/coordination/scatterer/shard.go
+++ b/internal/coordination/scatterer/shard.go
@@ -11,6 +11,8 @@
 	// pending holds the attempts in flight.
 	pending       []*Attempt
 	triedReplicas []string
+	// wasPlaced is set once there has been an attempt, even one that was not sent.
+	wasPlaced bool
 	// possibleRuns counts the attempts that have run or may have run, including those in flight.
 	possibleRuns int
 	// reachedReplica is set once a replica may have received the request; each further attempt is then a repeat.
