Prove that a request lost with a peer is not called not run

With scatterer.Refused in place of scatterer.Failed in diversion.newFailure all tests passed, although an isolated entry instance then tells callers 'not run' (503) of a request that a replica has begun at a peer's call.

TestPeerEndsDuringDivertedRequest isolates an instance, lets a peer take the request over, closes the peer's server once a replica has begun it and checks the answer, over shards and for a request that may run once. With the change above it fails in both (kind refused); without it passes five times in five. No code changes.

--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -135,6 +135,8 @@
 	// receiver is the index of the instance that receives requests.
 	receiver int
 	nextID   atomic.Int64
+	// began receives a value when a replica begins a request that it never answers, unless it is nil.
+	began atomic.Pointer[chan struct{}]
 }
 
 // The indexes of the routes in strandedRoutes.
@@ -252,6 +254,11 @@
 		body, _ := io.ReadAll(r.Body)
 		runs, _ := sf.runs.LoadOrStore(r.RequestURI, new(atomic.Int64))
 		runs.(*atomic.Int64).Add(1)
+		if began := sf.began.Load(); began != nil {
+			*began <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set("Stamp", id)
 		fmt.Fprintf(w, "%-16s%-16s%s", "c"+id, "a"+id, body)
 	}))
@@ -453,3 +460,46 @@
 		t.Errorf("%.2f answered whole, %d late", answers.share(&answers.whole), answers.late.Load())
 	}
 }
+
+// TestPeerEndsDuringDivertedRequest guards against a caller being told that its request has not run, when the peer that took it over ended after a replica had begun it.
+func TestPeerEndsDuringDivertedRequest(t *testing.T) {
+	for name, route := range map[string]int{
+		"shards":       routeAll,
+		"at most once": routeOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sf := newStrandedFixture(t)
+			sf.isolateReceiver(t)
+			sf.runs.Clear()
+			began := make(chan struct{}, 100)
+			sf.began.Store(&began)
+			answer := make(chan Answer, 1)
+			go func() { answer <- sf.send(t.Context(), route) }()
+			<-began
+			for _, peer := range sf.instances[1:] {
+				peer.peers.server.Close()
+			}
+			d := (<-answer).Decision
+			if d.Kind != scatterer.Failed || d.Reason != scatterer.ReasonPeerFailed || d.RetryAfter <= 0 {
+				t.Errorf("kind %v, reason %q, retry after %s", d.Kind, d.Reason, d.RetryAfter)
+			}
+			if route == routeOnce {
+				sf.requireRanOnce(t)
+			}
+		})
+	}
+}
+
+// isolateReceiver cuts the instance that receives requests off from all replicas and waits until it has noticed.
+func (sf *strandedFixture) isolateReceiver(t *testing.T) {
+	t.Helper()
+	sf.cut(sf.receiver, cutReset)
+	deadline := time.Now().Add(5 * time.Second)
+	for !sf.instances[sf.receiver].isolation.isIsolated() {
+		if time.Now().After(deadline) {
+			t.Fatal("the instance did not notice that it is isolated")
+		}
+		sf.sendAll(t.Context(), routeAll, 100*time.Millisecond)
+	}
+}
