Merge replies at the peer that relays them

What callers saw: nothing; between zones the top records of each part went to the instance that merges them, although ten records of all parts are wanted.

Cause: a relaying peer returned each part's records.

Change: a call whose attempts are all first ones asks the peer to merge: each message carries the stamps of its parts and one list of records. Parts of one message are applied together, with no decision between them, and a merged reply takes the place of a hedge's single one, which can be left out. A peer of an older build ignores the field and sends the records of each part.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -203,26 +203,50 @@
 
 // HandleOutcome handles the outcome of an attempt and returns the attempts to send next.
 func (j *Job) HandleOutcome(now time.Time, a *Attempt, outcome Outcome) []*Attempt {
-	s := j.shards[a.Shard]
-	s.pending = slices.DeleteFunc(s.pending, func(other *Attempt) bool { return other == a })
-	j.recordOutcome(now, a, outcome)
-	if j.decision != nil || s.reply != nil {
-		return nil
+	return j.HandleResults(now, []Result{{
+		Attempt: a,
+		Outcome: outcome,
+	}})
+}
+
+// HandleResults handles the outcomes of attempts that have ended together and returns the attempts to send next. No decision is made between two of them.
+func (j *Job) HandleResults(now time.Time, results []Result) []*Attempt {
+	for i := range results {
+		a := results[i].Attempt
+		s := j.shards[a.Shard]
+		s.pending = slices.DeleteFunc(s.pending, func(other *Attempt) bool { return other == a })
+		j.recordOutcome(now, a, results[i].Outcome)
 	}
-	s.applyOutcome(a, outcome)
-	if s.reply != nil {
-		j.answeredShards++
+	if j.decision != nil {
+		return nil
 	}
-	j.updateScreening(a, outcome)
 	var attempts []*Attempt
-	if s.reply == nil && len(s.pending) == 0 {
-		attempts = j.sendShard(now, a.Shard, s)
+	for i := range results {
+		attempts = append(attempts, j.applyResult(now, &results[i])...)
 	}
 	attempts = append(attempts, j.releaseShards(now)...)
 	j.tryDecide(now)
 	return j.discardIfDecided(attempts)
 }
 
+// applyResult updates the shard of an attempt and returns its next attempt. A merged reply takes the place of a single one, which can be left out while the merged one can't.
+func (j *Job) applyResult(now time.Time, r *Result) []*Attempt {
+	s := j.shards[r.Attempt.Shard]
+	hadReply := s.reply != nil
+	if hadReply && !r.Outcome.IsMerged {
+		return nil
+	}
+	s.applyOutcome(r.Attempt, r.Outcome)
+	if s.reply != nil && !hadReply {
+		j.answeredShards++
+	}
+	j.updateScreening(r.Attempt, r.Outcome)
+	if s.reply != nil || len(s.pending) > 0 {
+		return nil
+	}
+	return j.sendShard(now, r.Attempt.Shard, s)
+}
+
 // Tick returns the hedges and postponed retries that are due, and decides the request if a deadline has passed.
 func (j *Job) Tick(now time.Time) []*Attempt {
 	if j.decision != nil {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -84,6 +84,8 @@
 	ConnectionLost bool
 	// NoConnection is set if the replica took no connection from this instance.
 	NoConnection bool
+	// IsMerged is set if the reply's records were merged with those of the other replies that arrived with it, so that all of them are used or none.
+	IsMerged bool
 	// Cause describes the failure in a few words for the log.
 	Cause string
 }
@@ -93,6 +95,12 @@
 	return o.Kind == OutcomeReplied || o.Kind == OutcomeRejected || o.Kind == OutcomeMisdirected
 }
 
+// Result is an attempt that has ended.
+type Result struct {
+	Attempt *Attempt
+	Outcome Outcome
+}
+
 // AttemptKind says why an attempt is made.
 type AttemptKind string
 
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -33,6 +33,7 @@
 		startedAt: now,
 		ctx:       ctx,
 		cancel:    cancel,
+		merges:    group[0].Kind == scatterer.AttemptFirst,
 		pending:   group,
 	}
 	r.forwarder.peers.relayer.RecordStart(now, peer)
@@ -42,11 +43,13 @@
 
 // outgoingRelay is a call to a peer in progress.
 type outgoingRelay struct {
-	owner       *activeRequest
-	peer        *relayer.Peer
-	startedAt   time.Time
-	ctx         context.Context
-	cancel      context.CancelFunc
+	owner     *activeRequest
+	peer      *relayer.Peer
+	startedAt time.Time
+	ctx       context.Context
+	cancel    context.CancelFunc
+	// merges is set if the peer is asked to merge the replies of each message. Only first attempts are merged, so that no shard is in two of these messages.
+	merges      bool
 	hasResponse bool
 	// isAbandoned is set once the results are no longer needed, while the call may continue for a short time.
 	isAbandoned bool
@@ -69,7 +72,7 @@
 	stream, err := f.peers.relayClient(o.peer.Address).Relay(o.ctx, connect.NewRequest(o.newRequest()))
 	if err == nil {
 		for stream.Receive() {
-			o.handleParts(stream.Msg().GetParts())
+			o.handleResponse(stream.Msg())
 		}
 		err = stream.Err()
 		_ = stream.Close()
@@ -88,6 +91,7 @@
 		StopUs:    uint64(max(0, time.Until(o.pending[0].Deadline)).Microseconds()),
 		FlushUs:   uint64(flushDelayShare * float64(route.TargetLatency.Microseconds())),
 		TopK:      uint32(route.TopK),
+		Merge:     o.merges,
 	}
 	request.Headers = headersToWire(r.call.Header)
 	for i, a := range o.pending {
@@ -99,8 +103,8 @@
 	return request
 }
 
-// handleParts handles the results of attempts.
-func (o *outgoingRelay) handleParts(parts []*wire.RelayPart) {
+// handleResponse handles the results of attempts that arrived in one message.
+func (o *outgoingRelay) handleResponse(response *wire.RelayResponse) {
 	f := o.owner.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -109,19 +113,32 @@
 		f.peers.relayer.RecordResponse(o.peer, o.startedAt)
 	}
 	now := time.Now()
-	var attempts []*scatterer.Attempt
-	for _, part := range parts {
+	o.owner.advance(now, o.owner.handleResults(now, o.takeResults(response)))
+}
+
+// takeResults returns the outcomes of the attempts in the response, which are then no longer pending. The first merged reply holds the records of all.
+func (o *outgoingRelay) takeResults(response *wire.RelayResponse) []scatterer.Result {
+	var results []scatterer.Result
+	merged := response.GetMerged()
+	for _, part := range response.GetParts() {
 		number := int(part.GetNumber())
 		if number >= len(o.pending) || o.pending[number] == nil {
 			continue
 		}
-		a := o.pending[number]
-		o.pending[number] = nil
 		outcome := outcomeFromPart(part)
+		if response.Merged != nil && outcome.Reply != nil && outcome.Reply.IsSuccess() {
+			outcome.IsMerged = true
+			outcome.Reply.Body = merged
+			merged = nil
+		}
 		o.hasUnsent = o.hasUnsent || outcome.Cause == scatterer.CausePeerFailed
-		attempts = append(attempts, o.owner.handleOutcome(now, a, outcome)...)
+		results = append(results, scatterer.Result{
+			Attempt: o.pending[number],
+			Outcome: outcome,
+		})
+		o.pending[number] = nil
 	}
-	o.owner.advance(now, attempts)
+	return results
 }
 
 // finish handles the end of the call: attempts without a result have failed.
@@ -150,14 +167,17 @@
 	if o.isAbandoned {
 		outcome.Cause = scatterer.CauseCancelled
 	}
-	now := time.Now()
-	var attempts []*scatterer.Attempt
+	var results []scatterer.Result
 	for _, a := range o.pending {
 		if a != nil {
-			attempts = append(attempts, o.owner.handleOutcome(now, a, outcome)...)
+			results = append(results, scatterer.Result{
+				Attempt: a,
+				Outcome: outcome,
+			})
 		}
 	}
-	o.owner.advance(now, attempts)
+	now := time.Now()
+	o.owner.advance(now, o.owner.handleResults(now, results))
 }
 
 // recordIsolation handles a refusal because the peer reaches no replica; the mutex must be held.
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -32,6 +32,7 @@
 		forwarder: s.forwarder,
 		call:      callFromRequest(msg),
 		topK:      int(msg.GetTopK()),
+		merges:    msg.GetMerge(),
 		deadline:  time.Now().Add(time.Duration(msg.GetStopUs()) * time.Microsecond),
 		parts:     make(chan *wire.RelayPart, len(msg.GetItems())),
 	}
@@ -46,6 +47,8 @@
 	forwarder *Forwarder
 	call      *exchanger.Call
 	topK      int
+	// merges is set if the successful replies of a message are merged.
+	merges    bool
 	deadline  time.Time
 	exchanges []*exchanger.Exchange
 	parts     chan *wire.RelayPart
@@ -110,10 +113,7 @@
 				return ctx.Err()
 			}
 		}
-		response := &wire.RelayResponse{
-			Parts: batch,
-		}
-		if err := send(response); err != nil {
+		if err := send(r.newResponse(batch)); err != nil {
 			return err
 		}
 		batch = nil
@@ -121,6 +121,31 @@
 	return nil
 }
 
+// newResponse returns the message with the parts.
+func (r *incomingRelay) newResponse(parts []*wire.RelayPart) *wire.RelayResponse {
+	response := &wire.RelayResponse{
+		Parts: parts,
+	}
+	if !r.merges {
+		return response
+	}
+	var bodies [][]byte
+	for _, part := range parts {
+		if isSuccess(part) {
+			bodies = append(bodies, part.Body)
+			part.Body = nil
+		}
+	}
+	response.Merged = merger.TopRecords(bodies, r.topK)
+	return response
+}
+
+// isSuccess reports whether the part can be in an answer.
+func isSuccess(part *wire.RelayPart) bool {
+	reply := outcomeFromPart(part).Reply
+	return reply != nil && reply.IsSuccess()
+}
+
 // abandon limits how long attempts without a result may continue after the call has ended.
 func (r *incomingRelay) abandon() {
 	deadline := time.Now().Add(endedRelayTimeout)
@@ -157,7 +182,7 @@
 		part.Body = outcome.Reply.Body
 	}
 	// A record can be in the merged top K only if it is in the top K of its part.
-	if outcome.Reply != nil && outcome.Reply.IsSuccess() {
+	if !r.merges && outcome.Reply != nil && outcome.Reply.IsSuccess() {
 		part.Body = merger.TopRecords([][]byte{part.Body}, r.topK)
 	}
 	r.parts <- part
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
@@ -322,9 +323,22 @@
 
 // handleOutcome handles the outcome of an attempt and returns the attempts to send next; the mutex must be held.
 func (r *activeRequest) handleOutcome(now time.Time, a *scatterer.Attempt, outcome scatterer.Outcome) []*scatterer.Attempt {
-	r.recordOutcome(now, a, outcome)
-	before := a.Replica.Notice(now)
-	attempts := r.job.HandleOutcome(now, a, outcome)
-	r.forwarder.logNotice(now, a.Replica, before)
+	return r.handleResults(now, []scatterer.Result{{
+		Attempt: a,
+		Outcome: outcome,
+	}})
+}
+
+// handleResults handles the outcomes of attempts that have ended together and returns the attempts to send next; the mutex must be held.
+func (r *activeRequest) handleResults(now time.Time, results []scatterer.Result) []*scatterer.Attempt {
+	noticesBefore := make([]balancer.Notice, len(results))
+	for i := range results {
+		r.recordOutcome(now, results[i].Attempt, results[i].Outcome)
+		noticesBefore[i] = results[i].Attempt.Replica.Notice(now)
+	}
+	attempts := r.job.HandleResults(now, results)
+	for i := range results {
+		r.forwarder.logNotice(now, results[i].Attempt.Replica, noticesBefore[i])
+	}
 	return attempts
 }
