Try on after replicas that take no connection

Cause: a request was tried at four replicas at most, and those that have ended and refuse connections counted, although nothing was sent. An instance without control learns only so which ones have ended.

Ruled out: the screener (the request had another fingerprint), the retry budget (an unsent attempt takes nothing from it).

Change: only attempts that may have reached a replica count. Tests: TestReplicasThatTakeNoConnection, refused before after four replicas.

--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -29,7 +29,7 @@
 	return []*Attempt{a}
 }
 
-// canRetry reports whether another attempt is allowed. A request that is not idempotent is never sent again once it may have run, and the number of replicas tried is bounded.
+// canRetry reports whether another attempt is allowed. A request that is not idempotent is never sent again once it may have run, and the number of replicas that it reaches is bounded.
 func (j *Job) canRetry(s *shard) bool {
 	if j.screening.hasFailed {
 		return false
@@ -37,7 +37,8 @@
 	if !j.request.Route.Idempotent && (s.sawBroken || s.failureReply != nil) {
 		return false
 	}
-	return s.possibleRuns < j.request.Route.MaxRuns && len(s.triedReplicas) < j.request.Route.MaxRuns+maxExtraRejections
+	reached := len(s.triedReplicas) - s.unsentCount
+	return s.possibleRuns < j.request.Route.MaxRuns && reached < j.request.Route.MaxRuns+maxExtraRejections
 }
 
 func (j *Job) canHedge(s *shard) bool {
--- a/internal/coordination/scatterer/runs_test.go
+++ b/internal/coordination/scatterer/runs_test.go
@@ -1,7 +1,10 @@
 package scatterer
 
 import (
+	"fmt"
 	"testing"
+
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"time"
 )
 
@@ -80,3 +83,34 @@
 		t.Errorf("%d attempts, want a retry", len(next))
 	}
 }
+
+// TestReplicasThatTakeNoConnection guards against a request being refused because the first replicas tried have ended, while others would serve it.
+func TestReplicasThatTakeNoConnection(t *testing.T) {
+	const ended, replicas = 9, 16
+	p := newPolicies(10)
+	for i := range replicas {
+		p.Balancer.Put(balancer.Replica{
+			ID:      fmt.Sprintf("one-%d", i),
+			Service: "one",
+			Zone:    "a",
+		})
+	}
+	j := newJob(singleRoute(false), p)
+	attempts := j.Start(start)
+	for range ended {
+		if len(attempts) != 1 {
+			t.Fatalf("decision %+v before all replicas were tried", j.Decision())
+		}
+		attempts = j.HandleOutcome(start, attempts[0], Outcome{
+			Kind:         OutcomeUnsent,
+			NoConnection: true,
+		})
+	}
+	if len(attempts) != 1 {
+		t.Fatalf("decision %+v, want an attempt at the next replica", j.Decision())
+	}
+	j.HandleOutcome(start, attempts[0], replied(200))
+	if d := j.Decision(); d == nil || d.Kind != Relayed {
+		t.Errorf("decision %+v", d)
+	}
+}
--- a/internal/coordination/scatterer/shard.go
+++ b/internal/coordination/scatterer/shard.go
@@ -11,6 +11,8 @@
 	// pending holds the attempts in flight.
 	pending       []*Attempt
 	triedReplicas []string
+	// unsentCount counts the attempts at them of which nothing was sent.
+	unsentCount int
 	// wasPlaced is set once there has been an attempt, even one that was not sent.
 	wasPlaced bool
 	// possibleRuns counts the attempts that have run or may have run, including those in flight.
@@ -45,8 +47,13 @@
 	case OutcomeRejected:
 		s.possibleRuns--
 		s.sawRejection = true
-	case OutcomeMisdirected, OutcomeUnsent:
+	case OutcomeMisdirected:
 		s.possibleRuns--
+	case OutcomeUnsent:
+		s.possibleRuns--
+		if outcome.Cause != CausePeerFailed {
+			s.unsentCount++
+		}
 	default:
 		s.sawBroken = true
 	}
