Hedge while the reply may still be in time

Traces of late ones: nine tenths of the replies in at 25 to 35 ms, hedges sent at 45 to 67 ms of 80, their replies at 65 to 89.

Cause: the hedge delay was the 0.9 quantile of latencies by an estimator that each observation moves by up to 5 %. The stragglers of a query are observed one after the other, so that the next query began with a delay half as high again; and while a sixth of the replicas was slow the quantile was a slow replica's.

Change: exact quantiles of the last 256 latencies; the delay is at most twice the median; a hedge is sent while a usual reply to it still comes before the answer is due. The retry budget bounds hedges as before.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
-	"pimentogate.example/pimentogate/internal/coordination/router"
 )
 
 const (
@@ -73,7 +72,7 @@
 	random       *rand.Rand
 	services     map[string]*serviceState
 	replicasByID map[string]*ReplicaState
-	hedgeDelays  map[string]*router.QuantileEstimator
+	latencies    map[string]*latencyWindow
 	// instances is the number of entry instances that share the rate limits of replicas.
 	instances int
 }
@@ -85,7 +84,7 @@
 		random:       random,
 		services:     map[string]*serviceState{},
 		replicasByID: map[string]*ReplicaState{},
-		hedgeDelays:  map[string]*router.QuantileEstimator{},
+		latencies:    map[string]*latencyWindow{},
 		instances:    1,
 	}
 }
@@ -298,7 +297,7 @@
 	if s := b.services[r.Service]; s != nil {
 		s.meanLatency = updateAverage(s.meanLatency, latency)
 	}
-	b.ensureHedgeDelay(class).Observe(latency)
+	b.latenciesOf(class).observe(latency)
 }
 
 // RecordMinLatency records that the replica has not answered within the time waited, which is only a lower bound of its latency.
@@ -317,7 +316,13 @@
 
 // HedgeDelay returns how long an attempt of the class may take before it counts as a straggler, 0 if no latency was observed.
 func (b *Balancer) HedgeDelay(class string) time.Duration {
-	return b.ensureHedgeDelay(class).Value()
+	latencies := b.latenciesOf(class)
+	return min(latencies.quantile(hedgeQuantile), maxHedgeMedians*latencies.quantile(0.5))
+}
+
+// MedianLatency returns the median latency of attempts of the class, 0 if none was observed.
+func (b *Balancer) MedianLatency(class string) time.Duration {
+	return b.latenciesOf(class).quantile(0.5)
 }
 
 func (b *Balancer) ensureService(name string) *serviceState {
@@ -329,17 +334,21 @@
 	return state
 }
 
-// hedgeQuantile is the share of attempts that are answered within the hedge delay. The remaining tenth, which may be hedged, fits twice into a usual retry ratio of 0.2.
-const hedgeQuantile = 0.9
+const (
+	// hedgeQuantile is the share of attempts that are answered within the hedge delay. The remaining tenth, which may be hedged, fits twice into a usual retry ratio of 0.2.
+	hedgeQuantile = 0.9
+	// maxHedgeMedians is the longest hedge delay, in median latencies. While many replicas are slow, the quantile is the latency of a slow one.
+	maxHedgeMedians = 2
+)
 
-// ensureHedgeDelay returns the estimator of the class's hedge delay, and adds it if there is none.
-func (b *Balancer) ensureHedgeDelay(class string) *router.QuantileEstimator {
-	estimator, ok := b.hedgeDelays[class]
+// latenciesOf returns the latencies of the class, and adds them if there are none.
+func (b *Balancer) latenciesOf(class string) *latencyWindow {
+	l, ok := b.latencies[class]
 	if !ok {
-		estimator = router.NewQuantileEstimator(hedgeQuantile)
-		b.hedgeDelays[class] = estimator
+		l = &latencyWindow{}
+		b.latencies[class] = l
 	}
-	return estimator
+	return l
 }
 
 func updateAverage(average, sample time.Duration) time.Duration {
--- /dev/null
+++ b/internal/coordination/scatterer/hedge_test.go
@@ -0,0 +1,31 @@
+package scatterer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestHedgeMayStillBeInTime checks that a straggler is hedged so early that the reply to the hedge can be part of the answer, also while attempts usually take much of the target latency.
+func TestHedgeMayStillBeInTime(t *testing.T) {
+	const shards = 10
+	route := shardedRoute(shards, 0.95)
+	for _, latency := range []time.Duration{10 * time.Millisecond, 30 * time.Millisecond, 45 * time.Millisecond} {
+		p := newPolicies(100, route.Shards...)
+		for range 300 {
+			p.Balancer.RecordSuccess(p.Balancer.Find(route.Shards[0]+"-a"), route.Name, latency)
+		}
+		j := newJob(route, p)
+		attempts := j.Start(start)
+		for _, a := range attempts[1:] {
+			j.HandleOutcome(start.Add(latency), a, replied(200))
+		}
+		hedges, sentAt := tickUntilSent(j, route.TargetLatency)
+		if len(hedges) != 1 {
+			t.Fatalf("%s: %d hedges", latency, len(hedges))
+		}
+		j.HandleOutcome(sentAt.Add(latency), hedges[0], replied(200))
+		if d := j.Decision(); d == nil || d.Kind != Gathered || sentAt.Add(latency).After(j.softDeadline) {
+			t.Errorf("attempts take %s: hedged after %s, with a soft deadline of %s", latency, sentAt.Sub(start), j.softDeadline.Sub(start))
+		}
+	}
+}
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -24,6 +24,8 @@
 	minAnsweredShareToHedge = 0.6
 	// lateReplyShare is the share of the target latency for which replicas may work past the soft deadline, for requests that still lack required shards by then.
 	lateReplyShare = 0.2
+	// hedgeReplyMedians is the time that a hedge's reply takes, in median latencies of first attempts.
+	hedgeReplyMedians = 1.25
 	// defaultHedgeShare is the share of the target latency used as the hedge delay until a latency has been observed.
 	defaultHedgeShare = 0.35
 	// minObservedShare is the share of the target latency that an attempt must have had for its lateness to count as congestion.
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -98,7 +98,7 @@
 		Kind:      kind,
 		StartedAt: now,
 		Deadline:  j.attemptDeadline(now),
-		hedgeAt:   now.Add(j.hedgeDelay()),
+		hedgeAt:   now.Add(j.hedgeDelay(now)),
 		round:     j.policies.Screener.NextRound(j.request.Fingerprint),
 	}
 	j.policies.Balancer.RecordStart(now, replica)
@@ -117,10 +117,15 @@
 	return earlier(j.hardDeadline, j.softDeadline.Add(time.Duration(lateReplyShare*float64(j.request.Route.TargetLatency))))
 }
 
-func (j *Job) hedgeDelay() time.Duration {
+// hedgeDelay returns how long an attempt that starts now may take before it is hedged. A hedge is sent while its reply may still arrive before the soft deadline.
+func (j *Job) hedgeDelay(now time.Time) time.Duration {
 	delay := j.policies.Balancer.HedgeDelay(j.class)
 	if delay == 0 {
 		delay = time.Duration(defaultHedgeShare * float64(j.request.Route.TargetLatency))
 	}
+	replyTime := time.Duration(hedgeReplyMedians * float64(j.policies.Balancer.MedianLatency(j.class)))
+	if last := j.softDeadline.Sub(now) - replyTime; last >= minHedgeDelay {
+		delay = min(delay, last)
+	}
 	return max(delay, minHedgeDelay)
 }
