--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -8,11 +8,20 @@
 // answeredCount returns how many shards have answered.
 func (j *Job) answeredCount() int { return j.answeredShards }
 
-// outstandingCount returns how many shards may still answer.
+// outstandingCount returns how many shards may still answer. It counts anew only after a change other than an answer.
 func (j *Job) outstandingCount() int {
+	if !j.deadShardsKnown {
+		j.deadShards = j.countDeadShards()
+		j.deadShardsKnown = true
+	}
+	return len(j.shards) - j.answeredShards - j.deadShards
+}
+
+// countDeadShards returns how many shards have not answered and will not.
+func (j *Job) countDeadShards() int {
 	count := 0
 	for _, s := range j.shards {
-		if s.reply == nil && (len(s.pending) > 0 || !s.retryAt.IsZero()) {
+		if s.reply == nil && len(s.pending) == 0 && s.retryAt.IsZero() {
 			count++
 		}
 	}
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -41,13 +41,20 @@
 	request  Request
 	policies *Policies
 	shards   []*shard
-	class    string
+	// firstAttempts holds the first attempt of each shard.
+	firstAttempts []Attempt
+	class         string
 	// softDeadline is when a partial answer becomes better than waiting, and hardDeadline is when waiting ends.
 	softDeadline time.Time
 	hardDeadline time.Time
 	decision     *Decision
-	// answeredShards counts the shards that have a reply.
-	answeredShards int
+	// answeredShards counts the shards that have a reply, and deadShards those that get none, if deadShardsKnown is set.
+	answeredShards  int
+	deadShards      int
+	deadShardsKnown bool
+	// nextTick is the result of NextTick if nextTickKnown is set.
+	nextTick      time.Time
+	nextTickKnown bool
 	// screening guards the replicas against a request that may crash them.
 	screening screening
 }
@@ -67,22 +74,27 @@
 	allowance := policies.CallerAllowance + policies.Overrun.AllowanceFor(r.TargetLatency)
 	j.softDeadline = earlier(request.ArrivedAt.Add(max(r.TargetLatency-allowance, r.TargetLatency/2)), j.hardDeadline)
 	if !r.IsSharded() {
-		j.addShard(r.ServiceFor(request.ID))
+		j.addShards(r.ServiceFor(request.ID))
 		return j
 	}
-	for _, service := range r.Shards {
-		j.addShard(service)
-	}
+	j.addShards(r.Shards...)
 	return j
 }
 
-func (j *Job) addShard(service string) {
-	runs := j.request.Runs[service]
-	j.shards = append(j.shards, &shard{
-		service:        service,
-		possibleRuns:   runs,
-		reachedReplica: runs > 0,
-	})
+// addShards adds shards. Those of a request, and their first attempts, are allocated together.
+func (j *Job) addShards(services ...string) {
+	shards := make([]shard, len(services))
+	j.shards = make([]*shard, len(services))
+	j.firstAttempts = make([]Attempt, len(services))
+	for i, service := range services {
+		s := &shards[i]
+		s.service = service
+		s.possibleRuns = j.request.Runs[service]
+		s.reachedReplica = s.possibleRuns > 0
+		s.pending = s.pendingSpace[:0]
+		s.triedReplicas = s.triedSpace[:0]
+		j.shards[i] = s
+	}
 }
 
 // Runs returns how many replicas of each service may have run the request.
@@ -155,7 +167,8 @@
 		})
 		return nil
 	}
-	var attempts []*Attempt
+	j.noteChange()
+	attempts := make([]*Attempt, 0, len(j.shards))
 	for _, i := range j.sendOrder() {
 		if s := j.shards[i]; !s.skipped {
 			attempts = append(attempts, j.sendShard(now, i, s)...)
@@ -183,16 +196,23 @@
 // acceptDelay returns how long it takes until replicas of enough shards for an answer accept an attempt, by their rate limits and pauses. Sending fewer would use up permits without an answer.
 func (j *Job) acceptDelay(now time.Time) time.Duration {
 	var sendTimes []time.Time
+	accepting := 0
 	for _, s := range j.shards {
-		if next, ok := j.policies.Balancer.NextSend(now, s.service); ok && !s.skipped {
+		next, ok := j.policies.Balancer.NextSend(now, s.service)
+		switch {
+		case !ok || s.skipped:
+		case next.After(now):
 			sendTimes = append(sendTimes, next)
+		default:
+			accepting++
 		}
 	}
-	if len(sendTimes) < j.requiredCount() {
+	required := j.requiredCount() - accepting
+	if required <= 0 || len(sendTimes) < required {
 		return 0
 	}
 	slices.SortFunc(sendTimes, time.Time.Compare)
-	return sendTimes[j.requiredCount()-1].Sub(now)
+	return sendTimes[required-1].Sub(now)
 }
 
 func (j *Job) traffic(service string) shedder.Traffic {
@@ -241,19 +261,31 @@
 	s.applyOutcome(r.Attempt, r.Outcome)
 	if s.reply != nil && !hadReply {
 		j.answeredShards++
+		j.nextTickKnown = j.nextTickKnown && j.answeredShards != j.requiredCount()
 	}
 	j.updateScreening(r.Attempt, r.Outcome)
-	if s.reply != nil || len(s.pending) > 0 {
+	if s.reply != nil {
+		return nil
+	}
+	j.noteChange()
+	if len(s.pending) > 0 {
 		return nil
 	}
 	return j.sendShard(now, r.Attempt.Shard, s)
 }
 
+// noteChange has the shards that may still answer and the next tick determined anew. An answer alone makes the tick no earlier, except by the soft deadline.
+func (j *Job) noteChange() {
+	j.deadShardsKnown = false
+	j.nextTickKnown = false
+}
+
 // Tick returns the hedges and postponed retries that are due, and decides the request if a deadline has passed.
 func (j *Job) Tick(now time.Time) []*Attempt {
 	if j.decision != nil {
 		return nil
 	}
+	j.noteChange()
 	var attempts []*Attempt
 	for i, s := range j.shards {
 		switch {
@@ -268,8 +300,16 @@
 	return j.discardIfDecided(attempts)
 }
 
-// NextTick returns when Tick is due next.
+// NextTick returns when Tick is due next, or an earlier time.
 func (j *Job) NextTick() time.Time {
+	if !j.nextTickKnown {
+		j.nextTick = j.findNextTick()
+		j.nextTickKnown = true
+	}
+	return j.nextTick
+}
+
+func (j *Job) findNextTick() time.Time {
 	next := j.hardDeadline
 	if j.request.Route.IsSharded() && j.answeredCount() >= j.requiredCount() {
 		next = earlier(next, j.softDeadline)
--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -322,9 +322,10 @@
 		if len(c.pending) > 0 && c.random.IntN(3) > 0 {
 			a, outcome := c.endRandomAttempt()
 			c.recordSent(j.HandleOutcome(now, a, outcome))
-			continue
+		} else {
+			c.recordSent(j.Tick(now))
 		}
-		c.recordSent(j.Tick(now))
+		c.requireCurrent(j)
 	}
 	switch d := j.Decision(); {
 	case d == nil:
@@ -334,6 +335,19 @@
 	}
 }
 
+// requireCurrent checks that what a job without a decision keeps between changes is up to date.
+func (c *invariantChecker) requireCurrent(j *Job) {
+	if j.Decision() != nil {
+		return
+	}
+	if next, want := j.NextTick(), j.findNextTick(); next.After(want) {
+		c.t.Fatalf("seed %d: next tick %s too late", c.seed, next.Sub(want))
+	}
+	if got, want := j.outstandingCount(), len(j.shards)-j.answeredShards-j.countDeadShards(); got != want {
+		c.t.Fatalf("seed %d: %d shards outstanding, want %d", c.seed, got, want)
+	}
+}
+
 func (c *invariantChecker) recordSent(attempts []*Attempt) {
 	for _, a := range attempts {
 		if !c.route.Idempotent && len(c.mayHaveRun[a.Service]) > 0 {
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -91,7 +91,8 @@
 	if kind == AttemptFirst {
 		budget.CountRequest(now)
 	}
-	a := &Attempt{
+	a := j.newAttempt(i, kind)
+	*a = Attempt{
 		Shard:     i,
 		Service:   s.service,
 		Replica:   replica,
@@ -109,6 +110,13 @@
 	return a
 }
 
+func (j *Job) newAttempt(shard int, kind AttemptKind) *Attempt {
+	if kind == AttemptFirst {
+		return &j.firstAttempts[shard]
+	}
+	return &Attempt{}
+}
+
 // attemptDeadline returns when a replica must stop working on an attempt: work on a reply that arrives too late to be used would only delay other replies.
 func (j *Job) attemptDeadline(now time.Time) time.Time {
 	if !j.request.Route.IsSharded() || !now.Before(j.softDeadline) {
--- a/internal/coordination/scatterer/screening.go
+++ b/internal/coordination/scatterer/screening.go
@@ -85,6 +85,7 @@
 	j.screening.isCautious = true
 	if wasProbe {
 		j.screening.hasFailed = true
+		j.noteChange()
 		for _, s := range j.shards {
 			s.retryAt = time.Time{}
 		}
@@ -97,6 +98,7 @@
 		return nil
 	}
 	j.screening.isCautious = false
+	j.noteChange()
 	var attempts []*Attempt
 	for i, s := range j.shards {
 		if s.reply == nil && len(s.pending) == 0 && !s.retryAt.IsZero() {
--- a/internal/coordination/scatterer/shard.go
+++ b/internal/coordination/scatterer/shard.go
@@ -11,6 +11,9 @@
 	// pending holds the attempts in flight.
 	pending       []*Attempt
 	triedReplicas []string
+	// pendingSpace and triedSpace hold them while there are few.
+	pendingSpace [2]*Attempt
+	triedSpace   [2]string
 	// unsentCount counts the attempts at them of which nothing was sent.
 	unsentCount int
 	// wasPlaced is set once there has been an attempt, even one that was not sent.
--- a/internal/coordination/screener/screener.go
+++ b/internal/coordination/screener/screener.go
@@ -97,6 +97,10 @@
 func (s *Screener) RecordAnswer(now time.Time, a Attempt) { s.record(now, a, false) }
 
 func (s *Screener) record(now time.Time, a Attempt, crashed bool) {
+	if !crashed && s.table.Find(a.Fingerprint) == nil {
+		// Nothing is known of the request that an answer could change.
+		return
+	}
 	report := Report{
 		Attempt: a,
 		Crashed: crashed,
