Encode a request once for all replicas

What callers saw: nothing by itself. Each attempt of a query copied the header, built an http.Request and encoded it anew.

Change: the request line and the common header fields are encoded once a call, by net/http as before; an attempt appends the deadline and its replica.

--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -45,12 +44,16 @@
 	Body   []byte
 	// AtMostOnce is true for a request that must not run more than once.
 	AtMostOnce bool
+
+	encoded encodedCall
 }
 
 // Codec translates between calls and the protocol of the replicas.
 type Codec interface {
-	// Encode returns the request for the replica; timeLeft is how long the replica may work on it.
-	Encode(call *Call, replica string, timeLeft time.Duration) (*http.Request, error)
+	// Encode returns the request without the header fields that differ between attempts.
+	Encode(call *Call) (*http.Request, error)
+	// AppendFields appends the other header fields, each as a line that ends with CRLF; timeLeft is how long the replica may work on the request.
+	AppendFields(lines []byte, replica string, timeLeft time.Duration) []byte
 	// Decode interprets a complete response. It returns false if the response belongs to another request.
 	Decode(call *Call, response *http.Response, body []byte) (scatterer.Outcome, bool)
 }
@@ -206,15 +209,22 @@
 		return false, unsentOutcome(x, "nobody waits")
 	}
 	timeLeft := time.Until(stopWork)
-	request, err := e.codec.Encode(call, target.Replica, timeLeft)
-	if err != nil || timeLeft <= 0 {
+	encoded := call.encode(e.codec)
+	if encoded.err != nil || timeLeft <= 0 {
 		x.detach()
 		e.pools.release(target, conn, true)
 		return false, unsentOutcome(x, "no time left")
 	}
 	writeDone := make(chan error, 1)
-	e.startWrite(conn, request, len(call.Body), writeDone)
-	outcome, canReuse, err := e.receiveResponse(conn, call, request)
+	w := &requestWriter{
+		conn:   conn,
+		head:   encoded.head,
+		fields: e.codec.AppendFields(nil, target.Replica, timeLeft),
+		body:   call.Body,
+		done:   writeDone,
+	}
+	w.start()
+	outcome, canReuse, err := e.receiveResponse(conn, call, encoded.request)
 	x.detach()
 	if err == nil {
 		canReuse = canReuse && isFullyWritten(writeDone)
@@ -229,49 +239,6 @@
 	return false, brokenOutcome(x, err)
 }
 
-// maxInlineBody is the largest body, in bytes, that is written before the response is read; it is well below what a socket buffer holds.
-const maxInlineBody = 4 << 10
-
-// startWrite writes a short request synchronously. It writes a long one concurrently with reading the response, since a replica may respond before it has read the whole request.
-func (e *Exchanger) startWrite(conn *connection, request *http.Request, bodySize int, writeDone chan<- error) {
-	if bodySize <= maxInlineBody {
-		writeDone <- writeBuffered(conn, request)
-		return
-	}
-	w := &requestWriter{
-		conn:    conn,
-		request: request,
-		done:    writeDone,
-	}
-	go w.run()
-}
-
-// requestBuffers holds buffers for encoding short requests.
-var requestBuffers = sync.Pool{
-	New: func() any { return new(bytes.Buffer) },
-}
-
-// writeBuffered writes a short request with a single write.
-func writeBuffered(conn *connection, request *http.Request) error {
-	buffer, _ := requestBuffers.Get().(*bytes.Buffer)
-	defer requestBuffers.Put(buffer)
-	buffer.Reset()
-	if err := request.Write(buffer); err != nil {
-		return err
-	}
-	_, err := conn.Write(buffer.Bytes())
-	return err
-}
-
-// requestWriter writes one long request in its own goroutine.
-type requestWriter struct {
-	conn    *connection
-	request *http.Request
-	done    chan<- error
-}
-
-func (w *requestWriter) run() { w.done <- w.request.Write(w.conn) }
-
 // isFullyWritten reports whether the whole request was written by the time its response was complete. Otherwise the connection can't be reused, since the replica still expects the rest of the body.
 func isFullyWritten(writeDone <-chan error) bool {
 	select {
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -18,7 +18,7 @@
 // testCodec implements a small test protocol: the Id header names the request, and the Refused header marks a request that did not run.
 type testCodec struct{}
 
-func (testCodec) Encode(call *Call, replica string, _ time.Duration) (*http.Request, error) {
+func (testCodec) Encode(call *Call) (*http.Request, error) {
 	request := &http.Request{
 		Method: call.Method,
 		URL: &url.URL{
@@ -28,7 +28,6 @@
 		ContentLength: int64(len(call.Body)),
 		Header: http.Header{
 			"Id":         {call.ID},
-			"Replica":    {replica},
 			"User-Agent": {""},
 		},
 	}
@@ -38,6 +37,10 @@
 	return request, nil
 }
 
+func (testCodec) AppendFields(lines []byte, replica string, _ time.Duration) []byte {
+	return append(lines, "Replica: "+replica+"\r\n"...)
+}
+
 func (testCodec) Decode(call *Call, response *http.Response, body []byte) (scatterer.Outcome, bool) {
 	if id := response.Header.Get("Id"); id != "" && id != call.ID {
 		return scatterer.Outcome{}, false
--- a/internal/transport/exchanger/fingerprint_test.go
+++ b/internal/transport/exchanger/fingerprint_test.go
@@ -2,9 +2,8 @@
 
 import "testing"
 
-// TestFingerprint checks which requests count as repeats of each other.
-func TestFingerprint(t *testing.T) {
-	original := Call{
+func newFingerprintCall() *Call {
+	return &Call{
 		ID:     "1",
 		Method: "POST",
 		Host:   "a.example",
@@ -12,6 +11,11 @@
 		Caller: "token-1",
 		Body:   []byte("content"),
 	}
+}
+
+// TestFingerprint checks which requests count as repeats of each other.
+func TestFingerprint(t *testing.T) {
+	original := newFingerprintCall()
 	cases := []struct {
 		name   string
 		change func(*Call)
@@ -27,8 +31,8 @@
 		{"text moved from path to caller", func(c *Call) { c.Path, c.Caller = "/one/1?q=", "2token-1" }, false},
 	}
 	for _, c := range cases {
-		repeat := original
-		c.change(&repeat)
+		repeat := newFingerprintCall()
+		c.change(repeat)
 		if isSame := repeat.Fingerprint() == original.Fingerprint(); isSame != c.isSame {
 			t.Errorf("%s: same fingerprint: %t", c.name, isSame)
 		}
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -34,7 +34,7 @@
 // testCodec decodes each response as a success signed by its replica.
 type testCodec struct{}
 
-func (testCodec) Encode(call *exchanger.Call, replica string, _ time.Duration) (*http.Request, error) {
+func (testCodec) Encode(call *exchanger.Call) (*http.Request, error) {
 	return &http.Request{
 		Method: call.Method,
 		URL: &url.URL{
@@ -42,12 +42,15 @@
 		},
 		Host: call.Host,
 		Header: http.Header{
-			"Replica": {replica},
-			"Kept":    call.Header["Kept"],
+			"Kept": call.Header["Kept"],
 		},
 	}, nil
 }
 
+func (testCodec) AppendFields(lines []byte, replica string, _ time.Duration) []byte {
+	return append(lines, "Replica: "+replica+"\r\n"...)
+}
+
 func (testCodec) Decode(_ *exchanger.Call, response *http.Response, body []byte) (scatterer.Outcome, bool) {
 	return scatterer.Outcome{
 		Kind: scatterer.OutcomeReplied,
