Let a few instances relay for each availability zone

What callers saw: late answers on the large site.

Cause: each of 294 instances sees a query every six seconds. The connections of its own attempts, and those of the peer that it prefers in each zone, have been closed as idle by then: 55,767 new connections for 223,000 requests, at 6 ms of handshake and more processor time than the attempt.

Change: coordination/delegator decides: from the rate of queries and the number of instances, how many relays a zone has, found alike by all by rendezvous hashing; an instance with a query in three seconds or fewer leaves the attempts in its own zone to relays as well, about 30 a call. Only relays, and instances that send by themselves, open connections ahead, in random order.

--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"pimentogate.example/pimentogate/internal/coordination/delegator"
 )
 
 const (
@@ -18,12 +18,14 @@
 	isolationBackoff = 2 * time.Second
 )
 
-// Peer is an entry instance in another availability zone.
+// Peer is another entry instance.
 type Peer struct {
 	Instance string
 	Zone     string
 	Address  string
 
+	// zoneRank is the place of the peer among the instances of its availability zone, this instance included. The first ones relay for all others.
+	zoneRank int
 	// unanswered holds the start times of the calls without a response yet, oldest first.
 	unanswered   []time.Time
 	failures     int
@@ -32,30 +34,47 @@
 	isIsolated bool
 }
 
-// Relayer tracks the entry instances of other availability zones and the state of their calls. It is not safe for concurrent use.
+// Relayer tracks the other entry instances and the state of the calls to them. It is not safe for concurrent use.
 type Relayer struct {
-	self  string
-	zone  string
+	self string
+	zone string
+	// relayCount is the number of relays in each availability zone, and ownRank the place of this instance in its own.
+	relayCount int
+	ownRank    int
+	// peers are ordered by this instance's preference.
 	peers []*Peer
 }
 
 // New returns a relayer without peers for the entry instance self in the given availability zone.
 func New(self, zone string) *Relayer {
 	return &Relayer{
-		self: self,
-		zone: zone,
+		self:       self,
+		zone:       zone,
+		relayCount: delegator.RelayCount(0, 0),
 	}
 }
 
-// Update replaces the list of peers. Instances that were known under the same address keep their call state.
-func (r *Relayer) Update(peers []Peer) {
+// SetRelayCount sets the number of instances of each availability zone that relay attempts, and reports whether it has changed.
+func (r *Relayer) SetRelayCount(count int) bool {
+	changed := count != r.relayCount
+	r.relayCount = count
+	return changed
+}
+
+// IsRelay reports whether this instance relays attempts for the others.
+func (r *Relayer) IsRelay() bool { return r.ownRank < r.relayCount }
+
+// Update replaces the list of peers and reports whether it has changed. Instances that were known under the same address keep their call state.
+func (r *Relayer) Update(peers []Peer) bool {
 	var next []*Peer
+	changed := false
 	for _, listed := range peers {
-		if listed.Instance == r.self || listed.Zone == r.zone || listed.Address == "" {
+		if listed.Instance == r.self || listed.Address == "" {
 			continue
 		}
 		known := r.find(listed)
 		if known == nil {
+			changed = true
 			known = &Peer{
 				Instance: listed.Instance,
 				Zone:     listed.Zone,
@@ -64,11 +83,42 @@
 		}
 		next = append(next, known)
 	}
-	// Ranking by a hash of both names gives each instance a stable preferred peer per zone, which spreads the load and keeps connections few.
-	slices.SortFunc(next, func(a, b *Peer) int { return cmp.Compare(r.rank(a), r.rank(b)) })
+	changed = changed || len(next) != len(r.peers)
 	r.peers = next
+	r.rankZones()
+	// Ranking by a hash of both names gives each instance stable preferred peers, which spreads the load and keeps connections few.
+	slices.SortFunc(next, func(a, b *Peer) int {
+		return cmp.Compare(delegator.Weight(r.self, a.Instance), delegator.Weight(r.self, b.Instance))
+	})
+	return changed
+}
+
+// rankZones ranks the instances of each availability zone alike at all instances that know the same others.
+func (r *Relayer) rankZones() {
+	slices.SortFunc(r.peers, func(a, b *Peer) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(zoneWeight(b), zoneWeight(a)))
+	})
+	own := delegator.Weight(r.zone, r.self)
+	r.ownRank = 0
+	for i, p := range r.peers {
+		p.zoneRank = 0
+		if i > 0 && r.peers[i-1].Zone == p.Zone {
+			p.zoneRank = r.peers[i-1].zoneRank + 1
+		}
+	}
+	for _, p := range r.peers {
+		switch {
+		case p.Zone != r.zone:
+		case zoneWeight(p) > own:
+			r.ownRank++
+		default:
+			p.zoneRank++
+		}
+	}
 }
 
+func zoneWeight(p *Peer) uint64 { return delegator.Weight(p.Zone, p.Instance) }
+
 func (r *Relayer) find(listed Peer) *Peer {
 	for _, known := range r.peers {
 		if known.Instance == listed.Instance && known.Address == listed.Address {
@@ -78,34 +128,53 @@
 	return nil
 }
 
-func (r *Relayer) rank(p *Peer) uint64 { return xxhash.Sum64String(r.self + " " + p.Instance) }
-
-// Preferred returns the first peer of each availability zone, healthy or not.
+// Preferred returns the first relay of each availability zone, healthy or not. A relay needs none in its own.
 func (r *Relayer) Preferred() []*Peer {
 	var preferred []*Peer
 	for _, p := range r.peers {
-		if !slices.ContainsFunc(preferred, func(other *Peer) bool { return other.Zone == p.Zone }) {
+		if (p.Zone != r.zone || !r.IsRelay()) && p.zoneRank < r.relayCount && !slices.ContainsFunc(preferred, func(other *Peer) bool { return other.Zone == p.Zone }) {
 			preferred = append(preferred, p)
 		}
 	}
 	return preferred
 }
 
-// Choose returns the first healthy peer of the availability zone, or nil if there is none. A peer in avoid is returned only if no other is healthy.
+// Choose returns the first healthy relay of another availability zone, another healthy peer there if no relay is, or nil if there is none. A peer in avoid is returned only if no other is healthy.
 func (r *Relayer) Choose(now time.Time, zone string, avoid []*Peer) *Peer {
-	var fallback *Peer
+	var best *Peer
+	var bestRank int
 	for _, p := range r.peers {
-		if p.Zone != zone || !p.isHealthy(now) {
+		if p.Zone == r.zone || p.Zone != zone || !p.isHealthy(now) {
 			continue
 		}
-		if !slices.Contains(avoid, p) {
-			return p
+		if rank := r.preferenceOf(p, avoid); best == nil || rank < bestRank {
+			best, bestRank = p, rank
 		}
-		if fallback == nil {
-			fallback = p
+	}
+	return best
+}
+
+// ChooseLocal returns up to count different healthy relays of the own availability zone that are not in avoid.
+func (r *Relayer) ChooseLocal(now time.Time, count int, avoid []*Peer) []*Peer {
+	var chosen []*Peer
+	for _, p := range r.peers {
+		if len(chosen) < count && p.Zone == r.zone && p.isHealthy(now) && r.preferenceOf(p, avoid) == 0 {
+			chosen = append(chosen, p)
 		}
 	}
-	return fallback
+	return chosen
+}
+
+// preferenceOf returns 0 for a relay, 1 for another peer, and 2 for a peer to avoid.
+func (r *Relayer) preferenceOf(p *Peer, avoid []*Peer) int {
+	switch {
+	case slices.Contains(avoid, p):
+		return 2
+	case p.zoneRank < r.relayCount:
+		return 0
+	default:
+		return 1
+	}
 }
 
 // isHealthy reports whether the peer is not in backoff and its oldest unanswered call is within responseTimeout.
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -13,8 +13,8 @@
 const (
 	// readBufferSize is in bytes and fits the header of a typical response; reads of larger bodies bypass the buffer.
 	readBufferSize = 2 << 10
-	// userTimeoutMillis is the TCP_USER_TIMEOUT in milliseconds: the kernel closes a connection whose sent data stays unacknowledged for longer.
-	userTimeoutMillis = 1500
+	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
+	userTimeout = 1500 * time.Millisecond
 	// maxHeadSize limits the head of a response, together with the interim ones before it, in bytes.
 	maxHeadSize = 64 << 10
 )
@@ -92,12 +92,3 @@
 	})
 	return err == nil && isQuiet
 }
-
-// setUserTimeout makes the kernel close a connection whose peer no longer acknowledges data.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
-	})
-	return errors.Join(err, optionErr)
-}
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 )
 
 const (
@@ -74,7 +75,7 @@
 			byID:            map[string]*pool{},
 			connectionLimit: connectionLimit,
 			dialer: net.Dialer{
-				Control: setUserTimeout,
+				Control: listener.SetUserTimeout(userTimeout),
 			},
 			onOpen: onOpen,
 		},
@@ -86,6 +87,9 @@
 	return e.pools.preconnect(ctx, target)
 }
 
+// IsConnected reports whether there is a connection to the replica, or one is being opened.
+func (e *Exchanger) IsConnected(target Target) bool { return e.pools.isConnected(target) }
+
 // Probe sends a GET request to the address over a connection of its own and returns nil if there is any response.
 func (e *Exchanger) Probe(ctx context.Context, address, path string) error {
 	raw, err := e.pools.dialer.DialContext(ctx, "tcp", address)
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -119,6 +119,13 @@
 	return nil
 }
 
+func (p *poolSet) isConnected(target Target) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	replicaPool := p.byID[target.Replica]
+	return replicaPool != nil && replicaPool.address == target.Address && replicaPool.openCount > 0
+}
+
 // releaseSlot returns the slot of a connection that could not be opened.
 func (p *poolSet) releaseSlot(replicaPool *pool) {
 	p.mutex.Lock()
--- a/internal/transport/forwarder/control_poller.go
+++ b/internal/transport/forwarder/control_poller.go
@@ -141,6 +141,7 @@
 	d.configVersion = publication.GetVersion()
 	d.configReceivedAt = time.Now()
 	d.forwarder.routingTable.Store(table)
+	d.forwarder.preconnector.noteChange()
 	d.forwarder.log.Info("configuration in force", "version", d.configVersion, "before", previous, "routes", len(table.Routes), "from", p.address)
 	return nil
 }
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/delegator"
 	"pimentogate.example/pimentogate/internal/coordination/diverter"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
@@ -18,10 +19,16 @@
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
-// peers connects the instance with entry instances of other availability zones. The forwarder's mutex guards the relayer.
+// peerIdleConnections is how many connections to a peer are kept while no call uses them.
+const peerIdleConnections = 4
+
+// peers connects the instance with the other entry instances. The forwarder's mutex guards the relayer and the rate of queries that callers send to this instance.
 type peers struct {
 	forwarder *Forwarder
 	relayer   *relayer.Relayer
+	queryRate *delegator.Rate
+	// delegating is the result of delegates at the last check.
+	delegating bool
 	// zoneInstances is the number of entry instances in the own availability zone, including this one.
 	zoneInstances atomic.Int64
 	// incomingCalls counts the calls received from other instances.
@@ -38,7 +45,8 @@
 		forwarder:         f,
 		relayer:           relayer.New(f.settings.Instance, f.settings.Zone),
 		zoneInstanceCount: limiter.NewInstanceCount(assumedConnectingInstances),
-		client:            listener.NewClient(),
+		client:            listener.NewHTTP1Client(peerIdleConnections),
+		queryRate:         delegator.NewRate(time.Now()),
 	}
 	p.zoneInstances.Store(assumedConnectingInstances)
 	return p
@@ -111,13 +119,42 @@
 	f := p.forwarder
 	f.mutex.Lock()
 	previous := p.relayer.Preferred()
-	p.relayer.Update(peerList)
+	changed := p.relayer.Update(peerList)
 	f.diverter.Update(divertPeers)
 	preferred := p.relayer.Preferred()
 	f.mutex.Unlock()
+	if changed {
+		f.preconnector.noteChange()
+	}
 	for _, peer := range preferred {
 		if !slices.Contains(previous, peer) {
 			f.preconnector.addPeer(peer.Address)
 		}
 	}
 }
+
+// updateRelays adapts the number of relays to the rate of queries, and opens the connections that this instance needs then.
+func (p *peers) updateRelays(now time.Time) {
+	f := p.forwarder
+	f.mutex.Lock()
+	wasDelegating := p.delegating
+	p.delegating = p.delegates(now)
+	count := delegator.RelayCount(p.queryRate.PerSecond(now), f.entryInstances)
+	changed := p.relayer.SetRelayCount(count)
+	delegates := p.delegating
+	preferred := p.relayer.Preferred()
+	f.mutex.Unlock()
+	if !changed && delegates == wasDelegating {
+		return
+	}
+	f.log.Info("relays changed", "relays-per-zone", count, "delegates", delegates)
+	f.preconnector.noteChange()
+	for _, peer := range preferred {
+		f.preconnector.addPeer(peer.Address)
+	}
+}
+
+// delegates reports whether this instance leaves attempts at shards in its availability zone to relays there; the mutex must be held.
+func (p *peers) delegates(now time.Time) bool {
+	return !p.relayer.IsRelay() && delegator.IsCold(p.queryRate.PerSecond(now))
+}
--- a/internal/transport/forwarder/preconnector.go
+++ b/internal/transport/forwarder/preconnector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
@@ -20,14 +21,23 @@
 // peerQueueSize is how many peers may wait for a connection, several for each availability zone.
 const peerQueueSize = 64
 
-// preconnector opens connections to the replicas of its own availability zone and to peers in other zones before the first request needs them.
+const (
+	// refreshDelay is how long changes of the routes or of the entry instances are collected before connections are opened for them.
+	refreshDelay = 200 * time.Millisecond
+	// relayCheckInterval is the interval at which the number of relays is adapted to the rate of queries.
+	relayCheckInterval = 5 * time.Second
+)
+
+// preconnector opens connections to the replicas of its own availability zone that this instance asks itself, and to the relays that it asks for others, before the first request needs them.
 type preconnector struct {
 	forwarder *Forwarder
 	replicas  chan exchanger.Target
 	peers     chan string
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// changed receives a value when the routes, the entry instances or the number of relays have changed.
+	changed chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 func newPreconnector(f *Forwarder) *preconnector {
@@ -35,15 +45,16 @@
 		forwarder: f,
 		replicas:  make(chan exchanger.Target, replicaQueueSize),
 		peers:     make(chan string, peerQueueSize),
+		changed:   make(chan struct{}, 1),
 		done:      make(chan struct{}),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
 
-// addReplica queues a replica for a connection, unless it is lost or in another availability zone.
+// addReplica queues a replica for a connection, unless it is lost, has one, or is asked through others.
 func (p *preconnector) addReplica(replica balancer.Replica) {
-	if replica.Zone != p.forwarder.zone || replica.Lost {
+	if replica.Zone != p.forwarder.zone || replica.Lost || !p.forwarder.sendsItself(replica.Service) {
 		return
 	}
 	target := exchanger.Target{
@@ -52,6 +63,9 @@
 		Address: replica.Address,
 		Zone:    replica.Zone,
 	}
+	if p.forwarder.exchanger.IsConnected(target) {
+		return
+	}
 	select {
 	case p.replicas <- target:
 	default:
@@ -59,6 +73,38 @@
 	}
 }
 
+// sendsItself reports whether this instance sends its own attempts at the service's replicas in its availability zone, rather than through relays. It is not known before the routes are.
+func (f *Forwarder) sendsItself(service string) bool {
+	table := f.routingTable.Load()
+	if table == nil {
+		return false
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !table.IsShardOnly(service) || !f.peers.delegates(time.Now())
+}
+
+// noteChange has the connections opened that a change needs.
+func (p *preconnector) noteChange() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+		// A change is noted already.
+	}
+}
+
+// refresh queues the replicas that this instance asks itself and has no connection to, in random order, so that instances that start together do not all connect to the same replica at once.
+func (p *preconnector) refresh() {
+	f := p.forwarder
+	f.mutex.Lock()
+	replicas := f.balancer.Replicas()
+	f.mutex.Unlock()
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	for _, replica := range replicas {
+		p.addReplica(replica)
+	}
+}
+
 // addPeer queues a peer for a connection.
 func (p *preconnector) addPeer(address string) {
 	select {
@@ -70,16 +116,29 @@
 
 func (p *preconnector) run() {
 	defer close(p.done)
+	relayCheck := time.NewTicker(relayCheckInterval)
+	defer relayCheck.Stop()
+	var refreshDue <-chan time.Time
 	for {
 		select {
 		case target := <-p.replicas:
 			p.connectReplica(target)
+			p.wait()
 		case address := <-p.peers:
 			p.connectPeer(address)
+			p.wait()
+		case <-p.changed:
+			if refreshDue == nil {
+				refreshDue = time.After(refreshDelay)
+			}
+		case <-refreshDue:
+			refreshDue = nil
+			p.refresh()
+		case now := <-relayCheck.C:
+			p.forwarder.peers.updateRelays(now)
 		case <-p.ctx.Done():
 			return
 		}
-		p.wait()
 	}
 }
 
--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/delegator"
 	"pimentogate.example/pimentogate/internal/coordination/relayer"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 )
@@ -11,6 +12,9 @@
 // minRelayedAttempts is the minimum number of attempts to one availability zone that justifies a call to a peer there. It does not apply if this instance opens no direct connections to that zone.
 const minRelayedAttempts = 2
 
+// minDelegatedAttempts is the minimum number of attempts in the own availability zone that justifies a call to a relay there.
+const minDelegatedAttempts = 10
+
 // relayGroupKey identifies attempts that can share one call to a peer.
 type relayGroupKey struct {
 	zone     string
@@ -25,6 +29,7 @@
 	if !r.request.Route.IsSharded() || f.settings.ListenPeers == "" || len(r.call.Body) > 0 {
 		return attempts
 	}
+	delegates := f.peers.delegates(now)
 	groups := map[relayGroupKey][]*scatterer.Attempt{}
 	var direct []*scatterer.Attempt
 	for _, a := range attempts {
@@ -33,14 +38,19 @@
 			deadline: a.Deadline,
 			isFirst:  a.Kind == scatterer.AttemptFirst,
 		}
-		if key.zone != f.zone && (key.isFirst || f.replicaConnections(a.Service).OtherZones == 0) {
+		if key.zone == f.zone && key.isFirst && delegates || key.zone != f.zone && (key.isFirst || f.replicaConnections(a.Service).OtherZones == 0) {
 			groups[key] = append(groups[key], a)
 		} else {
 			direct = append(direct, a)
 		}
 	}
+	avoid := r.peersToAvoid()
 	for key, group := range groups {
-		peer := f.peers.relayer.Choose(now, key.zone, r.peersToAvoid())
+		if key.zone == f.zone {
+			direct = append(direct, r.delegate(now, group, avoid)...)
+			continue
+		}
+		peer := f.peers.relayer.Choose(now, key.zone, avoid)
 		if peer == nil || r.hasUnsentBy(peer) || r.hasIsolatedPeer(key.zone) || len(group) < minRelayedAttempts && f.replicaConnections(group[0].Service).OtherZones > 0 {
 			direct = append(direct, group...)
 			continue
@@ -50,6 +60,23 @@
 	return direct
 }
 
+// delegate starts relays for attempts in the own availability zone, divided among several relays, and returns those to send directly; the mutex must be held.
+func (r *activeRequest) delegate(now time.Time, group []*scatterer.Attempt, avoid []*relayer.Peer) []*scatterer.Attempt {
+	peers := r.forwarder.peers.relayer.ChooseLocal(now, delegator.CallCount(len(group)), avoid)
+	if len(group) < minDelegatedAttempts {
+		return group
+	}
+	for i, peer := range peers {
+		// The parts differ in size by one at most.
+		part := group[i*len(group)/len(peers) : (i+1)*len(group)/len(peers)]
+		r.startRelay(now, peer, part)
+	}
+	if len(peers) == 0 {
+		return group
+	}
+	return nil
+}
+
 // peersToAvoid returns the peers that have not responded to a relay of this request yet or have left an attempt unsent. Its retries and hedges prefer other peers.
 func (r *activeRequest) peersToAvoid() []*relayer.Peer {
 	var peers []*relayer.Peer
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -140,10 +140,33 @@
 			rf.addReplica(t, service, fmt.Sprintf("%s-%d", service, number))
 		}
 	}
+	rf.setRoutes(t)
 	rf.setPeer(rf.far.peers.server.Address())
 	return rf
 }
 
+// setRoutes makes both instances use a configuration with the route.
+func (rf *relayFixture) setRoutes(t *testing.T) {
+	t.Helper()
+	route := *rf.route
+	route.Host = "a.example"
+	route.Prefix = "/all/"
+	var services []matcher.Service
+	for _, shard := range route.Shards {
+		services = append(services, matcher.Service{
+			Name: shard,
+		})
+	}
+	table, err := matcher.NewRoutingTable(1, []matcher.Route{route}, services, matcher.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []*Forwarder{rf.near, rf.far} {
+		f.routingTable.Store(table)
+		f.preconnector.noteChange()
+	}
+}
+
 func (rf *relayFixture) addReplica(t *testing.T, service, id string) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.RequestURI == "/" {
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -156,6 +156,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
+	if r.request.Route.IsSharded() {
+		f.peers.queryRate.Add(now)
+	}
 	r.job = scatterer.New(r.request, f.policies)
 	r.timer = time.AfterFunc(time.Hour, r.tick)
 	r.advance(now, r.job.Start(now))
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -126,6 +126,20 @@
 	}
 }
 
+// NewHTTP1Client returns a client for this system's own processes with a connection for each call in flight, of which it keeps up to idleConnections to each address. Where calls to one address rarely overlap, it takes less processor time than one multiplexed connection.
+func NewHTTP1Client(idleConnections int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{
+				Timeout: dialTimeout,
+				Control: SetUserTimeout(sendPingTimeout + pingTimeout),
+			}).DialContext,
+			MaxIdleConnsPerHost: idleConnections,
+			DisableCompression:  true,
+		},
+	}
+}
+
 func protocols(allowHTTP1 bool) *http.Protocols {
 	p := &http.Protocols{}
 	p.SetHTTP1(allowHTTP1)
