Write a long body in small pieces again

Cause: a body was passed to the kernel in one write rather than in pieces of 4 KB. Change: pieces of that size.

--- a/internal/transport/exchanger/encode.go
+++ b/internal/transport/exchanger/encode.go
@@ -9,6 +9,9 @@
 // maxInlineBody is the largest body, in bytes, that is written before the response is read; it is well below what a socket buffer holds.
 const maxInlineBody = 4 << 10
 
+// bodyWriteSize is the size, in bytes, of the pieces in which a long body is written, so that a replica's early response is noticed before the rest has been.
+const bodyWriteSize = 4 << 10
+
 var (
 	lineEnd = []byte("\r\n")
 	headEnd = []byte("\r\n\r\n")
@@ -94,8 +97,10 @@
 
 func (w *requestWriter) run() {
 	err := w.write(nil)
-	if err == nil {
-		_, err = w.conn.Write(w.body)
+	for rest := w.body; err == nil && len(rest) > 0; {
+		chunk := rest[:min(len(rest), bodyWriteSize)]
+		rest = rest[len(chunk):]
+		_, err = w.conn.Write(chunk)
 	}
 	w.done <- err
 }
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -117,6 +117,8 @@
 		response := c.replica.nextResponse(request)
 		if strings.HasPrefix(response, "early ") {
 			fmt.Fprint(c.conn, strings.TrimPrefix(response, "early "))
+			// The body must not be fully written by the time the response is noticed.
+			time.Sleep(100 * time.Millisecond)
 			_, _ = io.Copy(io.Discard, request.Body)
 			continue
 		}
