Refuse a request that has reached no replica

Cause: an attempt counted as possibly run from its start, also while its connection was being opened; a request abandoned as its instance was found to be isolated, or out of time, was answered as if it had run.

Change: at the target latency of a request to one service, at the deadline of others, and when the instance is found to be isolated, attempts that have had no connection are withdrawn: nothing of them is ever sent. If all are, the request is refused with when to come back, or diverted. An attempt that waits for a connection in use goes on until the deadline.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -55,6 +55,8 @@
 	// nextTick is the result of NextTick if nextTickKnown is set.
 	nextTick      time.Time
 	nextTickKnown bool
+	// hasGivenUp is set once nothing more is sent, because what was not sent by then would be late.
+	hasGivenUp bool
 	// screening guards the replicas against a request that may crash them.
 	screening screening
 }
@@ -300,6 +302,42 @@
 	return j.discardIfDecided(attempts)
 }
 
+// Withdrawal says which attempts that have had no connection are withdrawn.
+type Withdrawal int
+
+// The withdrawals of attempts.
+const (
+	WithdrawNone Withdrawal = iota
+	// WithdrawDialing withdraws those for which a connection is being opened.
+	WithdrawDialing
+	// WithdrawAll withdraws also those that wait for a connection in use.
+	WithdrawAll
+)
+
+// GiveUp returns which attempts are to be withdrawn before Tick is called, because their answers would be late: those to one service at the soft deadline, all at the hard one. No attempt follows them, so that a request that has reached no replica is refused.
+func (j *Job) GiveUp(now time.Time) Withdrawal {
+	switch {
+	case j.decision != nil:
+		return WithdrawNone
+	case !now.Before(j.hardDeadline):
+		j.hasGivenUp = true
+		j.noteChange()
+		return WithdrawAll
+	case j.request.Route.IsSharded() || j.hasGivenUp || now.Before(j.softDeadline):
+		return WithdrawNone
+	default:
+		j.hasGivenUp = true
+		j.noteChange()
+		return WithdrawDialing
+	}
+}
+
+// StopSending has no attempt follow those that are then withdrawn.
+func (j *Job) StopSending() {
+	j.hasGivenUp = true
+	j.noteChange()
+}
+
 // NextTick returns when Tick is due next, or an earlier time.
 func (j *Job) NextTick() time.Time {
 	if !j.nextTickKnown {
@@ -311,6 +349,9 @@
 
 func (j *Job) findNextTick() time.Time {
 	next := j.hardDeadline
+	if !j.request.Route.IsSharded() && !j.hasGivenUp {
+		next = j.softDeadline
+	}
 	if j.request.Route.IsSharded() && j.answeredCount() >= j.requiredCount() {
 		next = earlier(next, j.softDeadline)
 	}
@@ -384,6 +425,9 @@
 // CauseCancelled is the cause of an attempt that this instance cancelled. Its replica counts as slow, not as failed.
 const CauseCancelled = "given-up"
 
+// CauseNoConnection is the cause of an attempt that was withdrawn because it had no connection in time.
+const CauseNoConnection = "no connection in time"
+
 // CausePeerFailed is the cause of an attempt that a peer entry instance did not relay or returned no result for, because the call failed or the peer does not know the replica. It does not count against the replica.
 const CausePeerFailed = "peer"
 
@@ -420,13 +464,18 @@
 // isIsolated reports whether the job was abandoned because this instance reaches no replica.
 func (j *Job) isIsolated() bool { return j.decision != nil && j.decision.Reason == ReasonIsolated }
 
-// Abandon ends a job that has no decision yet for the given reason.
+// Abandon ends a job that has no decision yet for the given reason. The request is refused if nothing of it was sent.
 func (j *Job) Abandon(reason Reason) {
-	if j.decision == nil {
-		j.setDecision(Decision{
-			Kind:       Failed,
-			Reason:     reason,
-			RetryAfter: RetryAfterFailure,
-		})
+	if j.decision != nil {
+		return
+	}
+	d := Decision{
+		Kind:       Failed,
+		Reason:     reason,
+		RetryAfter: RetryAfterFailure,
+	}
+	if len(j.Runs()) == 0 {
+		d.Kind = Refused
 	}
+	j.setDecision(d)
 }
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -131,6 +131,10 @@
 	conn      net.Conn
 	deadline  time.Time
 	abandoned bool
+	// dialing is set while a connection is opened for the attempt, attached once it has had one, and withdrawn if it never will.
+	dialing   bool
+	attached  bool
+	withdrawn bool
 	cancel    context.CancelFunc
 }
 
@@ -157,6 +161,35 @@
 	}
 }
 
+// Withdraw ends an attempt that has had no connection yet, and reports whether nothing of it was or will be sent. Unless the attempt is out of time, one that waits for a connection in use goes on.
+func (x *Exchange) Withdraw(isOutOfTime bool) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.attached || !x.dialing && !isOutOfTime {
+		return false
+	}
+	x.abandoned = true
+	x.withdrawn = true
+	if x.cancel != nil {
+		x.cancel()
+	}
+	return true
+}
+
+// setDialing records that a connection is opened for the attempt.
+func (x *Exchange) setDialing() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.dialing = true
+}
+
+// IsWithdrawn reports whether Withdraw has ended the attempt.
+func (x *Exchange) IsWithdrawn() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.withdrawn
+}
+
 // attach applies the attempt's deadline to the connection. It returns false if the attempt is abandoned, in which case nothing is sent.
 func (x *Exchange) attach(conn net.Conn) bool {
 	x.mutex.Lock()
@@ -165,6 +198,7 @@
 		return false
 	}
 	x.conn = conn
+	x.attached = true
 	_ = conn.SetDeadline(x.deadline)
 	return true
 }
@@ -187,6 +221,9 @@
 	defer x.mutex.Unlock()
 	ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
 	x.cancel = cancel
+	if x.withdrawn {
+		cancel()
+	}
 	return ctx, cancel
 }
 
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -42,6 +42,7 @@
 	defer cancel()
 	for {
 		if released == nil {
+			x.setDialing()
 			return p.dial(ctx, replicaPool)
 		}
 		select {
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -134,6 +134,7 @@
 	case <-r.decided:
 		return r.finish(scatterer.ReasonNone, abandonedTimeout)
 	case <-isolated:
+		r.withdrawAll()
 		return r.finish(scatterer.ReasonIsolated, abandonedTimeout)
 	case <-ctx.Done():
 		return r.finish(scatterer.ReasonCallerGone, callerGoneTimeout)
@@ -170,9 +171,38 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
+	if withdrawal := r.job.GiveUp(now); withdrawal != scatterer.WithdrawNone {
+		r.withdraw(now, withdrawal)
+	}
 	r.advance(now, r.job.Tick(now))
 }
 
+// withdrawAll ends the attempts that have had no connection so far, before the request is abandoned.
+func (r *activeRequest) withdrawAll() {
+	r.forwarder.mutex.Lock()
+	defer r.forwarder.mutex.Unlock()
+	r.job.StopSending()
+	r.withdraw(time.Now(), scatterer.WithdrawAll)
+}
+
+// withdraw ends attempts that have had no connection so far; the mutex must be held.
+func (r *activeRequest) withdraw(now time.Time, withdrawal scatterer.Withdrawal) {
+	var results []scatterer.Result
+	for _, a := range r.job.Pending() {
+		if exchange := r.exchanges[a]; exchange != nil && exchange.Withdraw(withdrawal == scatterer.WithdrawAll) {
+			results = append(results, scatterer.Result{
+				Attempt: a,
+				Outcome: scatterer.Outcome{
+					Kind:         scatterer.OutcomeUnsent,
+					NoConnection: true,
+					Cause:        scatterer.CauseNoConnection,
+				},
+			})
+		}
+	}
+	r.advance(now, r.handleResults(now, results))
+}
+
 // advance sends the attempts and sets the timer for the next tick, or ends the request if it is decided; the mutex must be held.
 func (r *activeRequest) advance(now time.Time, attempts []*scatterer.Attempt) {
 	if r.job.Decision() != nil {
@@ -320,6 +350,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.recordPath(a.target.Replica, &outcome)
+	if a.exchange.IsWithdrawn() {
+		return
+	}
 	now := time.Now()
 	r.advance(now, r.handleOutcome(now, a.attempt, outcome))
 }
