Open connections once the fleet is known

Cause: while a fleet starts, an instance knows few others, takes itself for a relay and connects to all replicas of its zone. The rate of queries was taken from the first five seconds, in which an instance sees one or none.

Change: connections are opened once routes and instances have not changed for half a second, at most 3 s later; the number of relays has steps of four, and the rate counts a whole window of 20 s.

Tests: TestRelayCount, TestRate.

--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -10,6 +10,8 @@
 const (
 	// minRelays is the smallest number of relays of an availability zone, so that one that fails delays a part of the queries only.
 	minRelays = 3
+	// relayCountStep is the ratio of neighbouring numbers of relays. An instance that receives a query every few seconds can't estimate more closely.
+	relayCountStep = 4
 	// callInterval is the time between two calls to a relay that keeps its connections in use. A call reaches a part of the replicas only.
 	callInterval = 250 * time.Millisecond
 	// coldInterval is the time between two queries of an instance after which most of its connections have been closed as idle.
@@ -23,8 +25,8 @@
 	calls := queriesPerSecond * float64(instances)
 	needed := calls * callInterval.Seconds()
 	count := minRelays
-	for float64(count) < needed && count < instances {
-		count *= 2
+	for needed > 2*float64(count) && count < instances {
+		count *= relayCountStep
 	}
 	return count
 }
--- a/internal/coordination/delegator/rate.go
+++ b/internal/coordination/delegator/rate.go
@@ -27,7 +27,7 @@
 	r.current++
 }
 
-// PerSecond returns the number of events per second in the last window or two.
+// PerSecond returns the number of events per second in the last window or two, and too few before the first window has ended.
 func (r *Rate) PerSecond(now time.Time) float64 {
 	r.advance(now)
 	elapsed := now.Sub(r.startedAt)
@@ -36,7 +36,7 @@
 		elapsed += rateWindow
 		events += r.previous
 	}
-	return float64(events) / max(elapsed, rateWindow/4).Seconds()
+	return float64(events) / max(elapsed, rateWindow).Seconds()
 }
 
 func (r *Rate) advance(now time.Time) {
--- a/internal/transport/forwarder/preconnector.go
+++ b/internal/transport/forwarder/preconnector.go
@@ -22,8 +22,9 @@
 const peerQueueSize = 64
 
 const (
-	// refreshDelay is how long changes of the routes or of the entry instances are collected before connections are opened for them.
-	refreshDelay = 200 * time.Millisecond
+	// refreshDelay is how long the routes and the entry instances must not have changed before connections are opened for them, and maxRefreshDelay the longest wait. While a fleet starts, each instance first knows few others and would take itself for a relay.
+	refreshDelay    = 500 * time.Millisecond
+	maxRefreshDelay = 3 * time.Second
 	// relayCheckInterval is the interval at which the number of relays is adapted to the rate of queries.
 	relayCheckInterval = 5 * time.Second
 )
@@ -119,6 +120,7 @@
 	relayCheck := time.NewTicker(relayCheckInterval)
 	defer relayCheck.Stop()
 	var refreshDue <-chan time.Time
+	var changedAt time.Time
 	for {
 		select {
 		case target := <-p.replicas:
@@ -129,8 +131,9 @@
 			p.wait()
 		case <-p.changed:
 			if refreshDue == nil {
-				refreshDue = time.After(refreshDelay)
+				changedAt = time.Now()
 			}
+			refreshDue = time.After(min(refreshDelay, time.Until(changedAt.Add(maxRefreshDelay))))
 		case <-refreshDue:
 			refreshDue = nil
 			p.refresh()
