--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -38,7 +38,7 @@
 			deadline: a.Deadline,
 			isFirst:  a.Kind == scatterer.AttemptFirst,
 		}
-		if key.zone == f.zone && key.isFirst && delegates || key.zone != f.zone && (key.isFirst || f.replicaConnections(a.Service).OtherZones == 0) {
+		if r.canRelay(key, a.Service, delegates) {
 			groups[key] = append(groups[key], a)
 		} else {
 			direct = append(direct, a)
@@ -60,20 +60,28 @@
 	return direct
 }
 
+// canRelay reports whether attempts of the group at the service may go through peers; the mutex must be held. In the own availability zone only first attempts do, if this instance leaves them to relays.
+func (r *activeRequest) canRelay(key relayGroupKey, service string, delegates bool) bool {
+	if key.zone == r.forwarder.zone {
+		return key.isFirst && delegates
+	}
+	return key.isFirst || r.forwarder.replicaConnections(service).OtherZones == 0
+}
+
 // delegate starts relays for attempts in the own availability zone, divided among several relays, and returns those to send directly; the mutex must be held.
 func (r *activeRequest) delegate(now time.Time, group []*scatterer.Attempt, avoid []*relayer.Peer) []*scatterer.Attempt {
-	peers := r.forwarder.peers.relayer.ChooseLocal(now, delegator.CallCount(len(group)), avoid)
 	if len(group) < minDelegatedAttempts {
 		return group
 	}
+	peers := r.forwarder.peers.relayer.ChooseLocal(now, delegator.CallCount(len(group)), avoid)
+	if len(peers) == 0 {
+		return group
+	}
 	for i, peer := range peers {
 		// The parts differ in size by one at most.
 		part := group[i*len(group)/len(peers) : (i+1)*len(group)/len(peers)]
 		r.startRelay(now, peer, part)
 	}
-	if len(peers) == 0 {
-		return group
-	}
 	return nil
 }
 
