--- a/internal/coordination/scatterer/runs_test.go
+++ b/internal/coordination/scatterer/runs_test.go
@@ -4,8 +4,9 @@
 	"fmt"
 	"testing"
 
-	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"time"
+
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 )
 
 // TestRunsOfOtherInstance guards against a request that another instance has sent before running on more replicas of a service than its route allows.
