Wait for a control instance to get its vote back where it is given

By its log the restarted instance was stopped again at last index 6, before it had received the entry 7 that had removed it: the test asked that instance whether it is a voter, which it still took itself for, and moved on before the vote was given back.

The test waits until instance 0 counts the vote as well, which is stricter.

--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -237,6 +237,8 @@
 	cl.stop(absent)
 	cl.awaitVoterCount(0, len(cl.controls)-1)
 	cl.start(absent)
+	// The restarted instance itself takes itself for a voter until it has received the entry that removed it.
+	cl.awaitVoterCount(0, len(cl.controls))
 	cl.awaitVoters(absent)
 
 	cl.stop(absent)
