--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -85,6 +85,7 @@
 		ControlPeers:    "127.0.0.1:1",
 		RepeatBurst:     1000,
 		RepeatWindowMs:  10_000,
+		DrainMs:         10,
 		GraceMs:         1000,
 	}, logr.Discard(), Protocol{
 		Codec:            testCodec{},
