Hedge a hanging replica after the target latency too

A caller whose replica hangs, and whose hedge found no free replica before, would have waited to the deadline in place of a late answer.

Change: only a request of which nothing is out or has reached a replica is not tried any further. Test: TestHangingReplicaIsHedgedLate, no hedge before.

--- a/internal/coordination/scatterer/hedge_test.go
+++ b/internal/coordination/scatterer/hedge_test.go
@@ -29,3 +29,30 @@
 		}
 	}
 }
+
+// TestHangingReplicaIsHedgedLate checks that a request to one service whose replica hangs is hedged after the soft deadline as well, if no other replica was free before. A late answer is better than none.
+func TestHangingReplicaIsHedgedLate(t *testing.T) {
+	route := singleRoute(true)
+	p := newPolicies(10, "one")
+	j := newJob(route, p)
+	first := j.Start(start)[0]
+	other := p.Balancer.Find("one-a")
+	if first.Replica == other {
+		other = p.Balancer.Find("one-b")
+	}
+	for range other.Slots {
+		p.Balancer.RecordStart(start, other)
+	}
+	if hedges, _ := tickUntilSent(j, j.softDeadline.Sub(start)); len(hedges) > 0 {
+		t.Fatalf("hedged at a replica without a free slot: %+v", hedges[0])
+	}
+	late := j.softDeadline.Add(50 * time.Millisecond)
+	j.GiveUp(late)
+	j.Tick(late)
+	for range other.Slots {
+		p.Balancer.RecordEnd(other, start)
+	}
+	if hedges := j.Tick(late.Add(recheckInterval)); len(hedges) != 1 {
+		t.Errorf("%d hedges after the soft deadline, want 1", len(hedges))
+	}
+}
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -31,7 +31,7 @@
 
 // canRetry reports whether another attempt is allowed. A request that is not idempotent is never sent again once it may have run, and the number of replicas that it reaches is bounded.
 func (j *Job) canRetry(s *shard) bool {
-	if j.screening.hasFailed || j.hasGivenUp && !s.reachedReplica {
+	if j.screening.hasFailed || j.hasGivenUp && !s.reachedReplica && len(s.pending) == 0 {
 		return false
 	}
 	if !j.request.Route.Idempotent && (s.sawBroken || s.failureReply != nil) {
