--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -72,7 +72,7 @@
 func notFoundHandler(*Forwarder) http.Handler { return http.NotFoundHandler() }
 
 // newTestForwarder starts an entry instance whose control instance is unreachable.
-func newTestForwarder(t *testing.T, name, zone string) *Forwarder {
+func newTestForwarder(t testing.TB, name, zone string) *Forwarder {
 	t.Helper()
 	f, err := New(&checker.ForwarderSettings{
 		Instance:        name,
