--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -16,7 +16,7 @@
 	callInterval = 250 * time.Millisecond
 	// coldInterval is the time between two queries of an instance after which most of its connections have been closed as idle.
 	coldInterval = 3 * time.Second
-	// attemptsPerCall is the number of attempts at which a call between two instances costs both of them little more processor time than an attempt each. A query over 180 shards is divided into few calls so.
+	// attemptsPerCall is the number of attempts that one call carries. Smaller calls would be more of them, and larger ones would keep one relay busy for longer.
 	attemptsPerCall = 30
 )
 
--- a/internal/transport/forwarder/bench_test.go
+++ b/internal/transport/forwarder/bench_test.go
@@ -10,6 +10,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
 // BenchmarkRelayCall measures a call for 30 attempts that the peer leaves unsent, both ends together, by HTTP/1.1 as used and by HTTP/2.
@@ -39,20 +40,25 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				stream, err := client.Relay(b.Context(), connect.NewRequest(request))
-				if err != nil {
-					b.Fatal(err)
-				}
-				for stream.Receive() {
-				}
-				if err := stream.Close(); err != nil {
-					b.Fatal(err)
-				}
+				relayOnce(b, client, request)
 			}
 		})
 	}
 }
 
+func relayOnce(b *testing.B, client wireconnect.RelayServiceClient, request *wire.RelayRequest) {
+	b.Helper()
+	stream, err := client.Relay(b.Context(), connect.NewRequest(request))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for stream.Receive() {
+	}
+	if err := stream.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
+
 // BenchmarkCollection measures one collection of an instance that knows 1,350 replicas.
 func BenchmarkCollection(b *testing.B) {
 	f := newTestForwarder(b, "entry-1", "a")
