Give the replicas of the diversion tests addresses of their own

Cause: an HTTP/2 client of another test dialled the port of a replica on 127.0.0.1. A run shows that its preface arrives as method PRI with the URI *, which no request of this test has. Which test it came from is not known; suspected is one of another package whose instance had ended there and freed the port. No request of this test ran twice.

Change: replicas listen on addresses of their own, as the links do since. The check stays as it was.

--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -43,8 +43,14 @@
 	conns    []net.Conn
 }
 
-// linkCount counts the links of all tests.
-var linkCount atomic.Int64
+// hostCount counts the loopback addresses of all links and replicas.
+var hostCount atomic.Int64
+
+// newLoopbackHost returns a loopback address that nothing else uses.
+func newLoopbackHost() string {
+	number := hostCount.Add(1)
+	return fmt.Sprintf("127.77.%d.%d", number/250, number%250+1)
+}
 
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
@@ -53,8 +59,7 @@
 		target: target,
 	}
 	// An address of its own keeps the port free for the link while it does not listen.
-	number := linkCount.Add(1)
-	l.listen(fmt.Sprintf("127.77.%d.%d:0", number/250, number%250+1))
+	l.listen(newLoopbackHost() + ":0")
 	l.address = l.listener.Addr().String()
 	t.Cleanup(func() { l.setMode(cutReset) })
 	return l
@@ -247,7 +252,7 @@
 
 func (sf *strandedFixture) addReplica(t *testing.T, service, id string) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.RequestURI == healthPath {
 			return
 		}
@@ -262,6 +267,14 @@
 		w.Header().Set("Stamp", id)
 		fmt.Fprintf(w, "%-16s%-16s%s", "c"+id, "a"+id, body)
 	}))
+	// An address of its own keeps clients of other tests away, which dial ports of 127.0.0.1 that have been freed.
+	_ = server.Listener.Close()
+	socket, err := net.Listen("tcp", newLoopbackHost()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Listener = socket
+	server.Start()
 	t.Cleanup(server.Close)
 	for i, f := range sf.instances {
 		address := server.Listener.Addr().String()
