--- a/internal/coordination/matcher/routing_table.go
+++ b/internal/coordination/matcher/routing_table.go
@@ -37,6 +37,23 @@
 	TopK int
 	// MinShardShare is the share of the shards that a merged answer must include.
 	MinShardShare float64
+	// IsPublic is set if requests need no key.
+	IsPublic bool
+	// HomeRegions are the only regions to whose replicas requests are sent; empty allows all.
+	HomeRegions []string
+}
+
+// Organisation is one customer that sends requests under keys of its own.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority ranks the organisation's requests in place of the route's priority; nil leaves the route's.
+	Priority *int
+	// RatePerSecond and Burst are its allotment in requests over all instances; a rate of 0 means no limit.
+	RatePerSecond float64
+	Burst         float64
+	// HomeRegions limits the regions of its requests in addition to those of the route; empty allows all.
+	HomeRegions []string
 }
 
 // Service holds the settings that all replicas of a service share.
@@ -45,6 +62,10 @@
 	HealthPath string
 	// MaxConnections is how many connections a replica accepts from all callers together.
 	MaxConnections int
+	// ColdRatePerSecond is how many requests a cold replica accepts from all instances together, per second; 0 means no limit.
+	ColdRatePerSecond float64
+	// ColdDuration is how long a replica is cold after its start.
+	ColdDuration time.Duration
 }
 
 // Limits holds the limits on what callers send.
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -21,6 +21,10 @@
 	Deadline time.Time
 	// Runs is how many replicas of a service may have run the request already, sent by another instance.
 	Runs map[string]int
+	// Organisation is the name of the organisation that sent the request; empty if it has none.
+	Organisation string
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 }
 
 // HeaderField is one header field of a reply.
--- a/internal/protocol/checker/forwarder.go
+++ b/internal/protocol/checker/forwarder.go
@@ -23,6 +23,17 @@
 	DrainMs  int64  `json:"drain-ms"`
 	GraceMs  int64  `json:"grace-ms"`
 	LogLevel string `json:"log-level"`
+	// ZoneRegions maps each availability zone of the deployment to its region; empty if unknown.
+	ZoneRegions map[string]string `json:"zone-regions,omitempty"`
+	// FirstStart is set if the whole deployment starts for the first time, so that no allotment has been used.
+	FirstStart bool `json:"first-start"`
+	// AllotmentWindowMs, AllotmentOverage and AllotmentTolerance state by how much the requests of an organisation may exceed its allotment: in a window, by the share AllotmentOverage and by AllotmentTolerance requests.
+	AllotmentWindowMs  int64   `json:"allotment-window-ms"`
+	AllotmentOverage   float64 `json:"allotment-overage"`
+	AllotmentTolerance float64 `json:"allotment-tolerance"`
+	// ColdOverage and ColdTolerance state by how much the requests at a cold replica may exceed its rate in a second: to that factor, and by ColdTolerance requests.
+	ColdOverage   float64 `json:"cold-overage"`
+	ColdTolerance float64 `json:"cold-tolerance"`
 }
 
 const (
@@ -31,6 +42,8 @@
 	defaultRepeatWindowMs    = 10_000
 	defaultCallerAllowanceMs = 13
 	defaultGraceMs           = 6_000
+	defaultAllotmentWindowMs = 5_000
+	defaultColdOverage       = 1
 )
 
 // ReadForwarder reads and validates the settings of a forwarding entry instance; mistakes are returned as a MistakesError.
@@ -42,6 +55,8 @@
 		CallerAllowanceMs: defaultCallerAllowanceMs,
 		GraceMs:           defaultGraceMs,
 		LogLevel:          defaultLogLevel,
+		AllotmentWindowMs: defaultAllotmentWindowMs,
+		ColdOverage:       defaultColdOverage,
 	}
 	return readSettings(path, settings, checkForwarder)
 }
@@ -62,5 +77,10 @@
 	v.require("caller-allowance-ms", s.CallerAllowanceMs >= 0, "0 or more")
 	v.require("drain-ms", s.DrainMs >= 0, "0 or more")
 	v.require("grace-ms", s.GraceMs > s.DrainMs, "above drain-ms")
+	v.require("allotment-window-ms", s.AllotmentWindowMs > 0, "above 0")
+	v.require("allotment-overage", s.AllotmentOverage >= 0, "0 or more")
+	v.require("allotment-tolerance", s.AllotmentTolerance >= 0, "0 or more")
+	v.require("cold-overage", s.ColdOverage >= 1, "at least 1")
+	v.require("cold-tolerance", s.ColdTolerance >= 0, "0 or more")
 	v.requireLogLevel(s.LogLevel)
 }
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -27,6 +27,8 @@
 
 // fleetService serves the routing configuration and the replicas to entry instances, and commits the commands that other control instances forward to the leader.
 type fleetService struct {
+	wireconnect.UnimplementedFleetServiceHandler
+
 	controller *Controller
 }
 
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -12,12 +12,15 @@
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
 var errStopping = errors.New("this entry instance is stopping")
 
 // relayService sends attempts on behalf of entry instances of other availability zones.
 type relayService struct {
+	wireconnect.UnimplementedRelayServiceHandler
+
 	forwarder *Forwarder
 }
 
--- a/pkg/wire/wireconnect/fleet.connect.go
+++ b/pkg/wire/wireconnect/fleet.connect.go
@@ -50,6 +50,8 @@
 	// FleetServiceReportAttemptsProcedure is the fully-qualified name of the FleetService's
 	// ReportAttempts RPC.
 	FleetServiceReportAttemptsProcedure = "/pimentogate.v1.FleetService/ReportAttempts"
+	// FleetServiceDrainZoneProcedure is the fully-qualified name of the FleetService's DrainZone RPC.
+	FleetServiceDrainZoneProcedure = "/pimentogate.v1.FleetService/DrainZone"
 )
 
 // FleetServiceClient is a client for the pimentogate.v1.FleetService service.
@@ -61,6 +63,7 @@
 	Document(context.Context, *connect.Request[wire.DocumentRequest]) (*connect.Response[wire.DocumentResponse], error)
 	Heard(context.Context, *connect.Request[wire.HeardRequest]) (*connect.Response[wire.HeardResponse], error)
 	ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error)
+	DrainZone(context.Context, *connect.Request[wire.DrainZoneRequest]) (*connect.Response[wire.DrainZoneResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the pimentogate.v1.FleetService service. By
@@ -116,6 +119,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ReportAttempts")),
 			connect.WithClientOptions(opts...),
 		),
+		drainZone: connect.NewClient[wire.DrainZoneRequest, wire.DrainZoneResponse](
+			httpClient,
+			baseURL+FleetServiceDrainZoneProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("DrainZone")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -128,6 +137,7 @@
 	document       *connect.Client[wire.DocumentRequest, wire.DocumentResponse]
 	heard          *connect.Client[wire.HeardRequest, wire.HeardResponse]
 	reportAttempts *connect.Client[wire.ReportAttemptsRequest, wire.ReportAttemptsResponse]
+	drainZone      *connect.Client[wire.DrainZoneRequest, wire.DrainZoneResponse]
 }
 
 // Publish calls pimentogate.v1.FleetService.Publish.
@@ -165,6 +175,11 @@
 	return c.reportAttempts.CallUnary(ctx, req)
 }
 
+// DrainZone calls pimentogate.v1.FleetService.DrainZone.
+func (c *fleetServiceClient) DrainZone(ctx context.Context, req *connect.Request[wire.DrainZoneRequest]) (*connect.Response[wire.DrainZoneResponse], error) {
+	return c.drainZone.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the pimentogate.v1.FleetService service.
 type FleetServiceHandler interface {
 	Publish(context.Context, *connect.Request[wire.PublishRequest]) (*connect.Response[wire.PublishResponse], error)
@@ -174,6 +189,7 @@
 	Document(context.Context, *connect.Request[wire.DocumentRequest]) (*connect.Response[wire.DocumentResponse], error)
 	Heard(context.Context, *connect.Request[wire.HeardRequest]) (*connect.Response[wire.HeardResponse], error)
 	ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error)
+	DrainZone(context.Context, *connect.Request[wire.DrainZoneRequest]) (*connect.Response[wire.DrainZoneResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -225,6 +241,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ReportAttempts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceDrainZoneHandler := connect.NewUnaryHandler(
+		FleetServiceDrainZoneProcedure,
+		svc.DrainZone,
+		connect.WithSchema(fleetServiceMethods.ByName("DrainZone")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pimentogate.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServicePublishProcedure:
@@ -241,6 +263,8 @@
 			fleetServiceHeardHandler.ServeHTTP(w, r)
 		case FleetServiceReportAttemptsProcedure:
 			fleetServiceReportAttemptsHandler.ServeHTTP(w, r)
+		case FleetServiceDrainZoneProcedure:
+			fleetServiceDrainZoneHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -277,3 +301,7 @@
 func (UnimplementedFleetServiceHandler) ReportAttempts(context.Context, *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.FleetService.ReportAttempts is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) DrainZone(context.Context, *connect.Request[wire.DrainZoneRequest]) (*connect.Response[wire.DrainZoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.FleetService.DrainZone is not implemented"))
+}
--- a/pkg/wire/wireconnect/relay.connect.go
+++ b/pkg/wire/wireconnect/relay.connect.go
@@ -39,12 +39,24 @@
 	RelayServiceRelayProcedure = "/pimentogate.v1.RelayService/Relay"
 	// RelayServiceDivertProcedure is the fully-qualified name of the RelayService's Divert RPC.
 	RelayServiceDivertProcedure = "/pimentogate.v1.RelayService/Divert"
+	// RelayServiceAllotProcedure is the fully-qualified name of the RelayService's Allot RPC.
+	RelayServiceAllotProcedure = "/pimentogate.v1.RelayService/Allot"
+	// RelayServiceLendProcedure is the fully-qualified name of the RelayService's Lend RPC.
+	RelayServiceLendProcedure = "/pimentogate.v1.RelayService/Lend"
+	// RelayServiceStateProcedure is the fully-qualified name of the RelayService's State RPC.
+	RelayServiceStateProcedure = "/pimentogate.v1.RelayService/State"
+	// RelayServiceExplainProcedure is the fully-qualified name of the RelayService's Explain RPC.
+	RelayServiceExplainProcedure = "/pimentogate.v1.RelayService/Explain"
 )
 
 // RelayServiceClient is a client for the pimentogate.v1.RelayService service.
 type RelayServiceClient interface {
 	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.ServerStreamForClient[wire.RelayResponse], error)
 	Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error)
+	Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error)
+	Lend(context.Context, *connect.Request[wire.LendRequest]) (*connect.Response[wire.LendResponse], error)
+	State(context.Context, *connect.Request[wire.StateRequest]) (*connect.Response[wire.StateResponse], error)
+	Explain(context.Context, *connect.Request[wire.ExplainRequest]) (*connect.Response[wire.ExplainResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the pimentogate.v1.RelayService service. By
@@ -70,13 +82,41 @@
 			connect.WithSchema(relayServiceMethods.ByName("Divert")),
 			connect.WithClientOptions(opts...),
 		),
+		allot: connect.NewClient[wire.AllotRequest, wire.AllotResponse](
+			httpClient,
+			baseURL+RelayServiceAllotProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Allot")),
+			connect.WithClientOptions(opts...),
+		),
+		lend: connect.NewClient[wire.LendRequest, wire.LendResponse](
+			httpClient,
+			baseURL+RelayServiceLendProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
+		state: connect.NewClient[wire.StateRequest, wire.StateResponse](
+			httpClient,
+			baseURL+RelayServiceStateProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
+		explain: connect.NewClient[wire.ExplainRequest, wire.ExplainResponse](
+			httpClient,
+			baseURL+RelayServiceExplainProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	relay  *connect.Client[wire.RelayRequest, wire.RelayResponse]
-	divert *connect.Client[wire.DivertRequest, wire.DivertResponse]
+	relay   *connect.Client[wire.RelayRequest, wire.RelayResponse]
+	divert  *connect.Client[wire.DivertRequest, wire.DivertResponse]
+	allot   *connect.Client[wire.AllotRequest, wire.AllotResponse]
+	lend    *connect.Client[wire.LendRequest, wire.LendResponse]
+	state   *connect.Client[wire.StateRequest, wire.StateResponse]
+	explain *connect.Client[wire.ExplainRequest, wire.ExplainResponse]
 }
 
 // Relay calls pimentogate.v1.RelayService.Relay.
@@ -89,10 +129,34 @@
 	return c.divert.CallUnary(ctx, req)
 }
 
+// Allot calls pimentogate.v1.RelayService.Allot.
+func (c *relayServiceClient) Allot(ctx context.Context, req *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error) {
+	return c.allot.CallUnary(ctx, req)
+}
+
+// Lend calls pimentogate.v1.RelayService.Lend.
+func (c *relayServiceClient) Lend(ctx context.Context, req *connect.Request[wire.LendRequest]) (*connect.Response[wire.LendResponse], error) {
+	return c.lend.CallUnary(ctx, req)
+}
+
+// State calls pimentogate.v1.RelayService.State.
+func (c *relayServiceClient) State(ctx context.Context, req *connect.Request[wire.StateRequest]) (*connect.Response[wire.StateResponse], error) {
+	return c.state.CallUnary(ctx, req)
+}
+
+// Explain calls pimentogate.v1.RelayService.Explain.
+func (c *relayServiceClient) Explain(ctx context.Context, req *connect.Request[wire.ExplainRequest]) (*connect.Response[wire.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the pimentogate.v1.RelayService service.
 type RelayServiceHandler interface {
 	Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayResponse]) error
 	Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error)
+	Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error)
+	Lend(context.Context, *connect.Request[wire.LendRequest]) (*connect.Response[wire.LendResponse], error)
+	State(context.Context, *connect.Request[wire.StateRequest]) (*connect.Response[wire.StateResponse], error)
+	Explain(context.Context, *connect.Request[wire.ExplainRequest]) (*connect.Response[wire.ExplainResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -114,12 +178,44 @@
 		connect.WithSchema(relayServiceMethods.ByName("Divert")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceAllotHandler := connect.NewUnaryHandler(
+		RelayServiceAllotProcedure,
+		svc.Allot,
+		connect.WithSchema(relayServiceMethods.ByName("Allot")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayServiceLendHandler := connect.NewUnaryHandler(
+		RelayServiceLendProcedure,
+		svc.Lend,
+		connect.WithSchema(relayServiceMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayServiceStateHandler := connect.NewUnaryHandler(
+		RelayServiceStateProcedure,
+		svc.State,
+		connect.WithSchema(relayServiceMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayServiceExplainHandler := connect.NewUnaryHandler(
+		RelayServiceExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(relayServiceMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pimentogate.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceRelayProcedure:
 			relayServiceRelayHandler.ServeHTTP(w, r)
 		case RelayServiceDivertProcedure:
 			relayServiceDivertHandler.ServeHTTP(w, r)
+		case RelayServiceAllotProcedure:
+			relayServiceAllotHandler.ServeHTTP(w, r)
+		case RelayServiceLendProcedure:
+			relayServiceLendHandler.ServeHTTP(w, r)
+		case RelayServiceStateProcedure:
+			relayServiceStateHandler.ServeHTTP(w, r)
+		case RelayServiceExplainProcedure:
+			relayServiceExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -136,3 +232,19 @@
 func (UnimplementedRelayServiceHandler) Divert(context.Context, *connect.Request[wire.DivertRequest]) (*connect.Response[wire.DivertResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Divert is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Allot is not implemented"))
+}
+
+func (UnimplementedRelayServiceHandler) Lend(context.Context, *connect.Request[wire.LendRequest]) (*connect.Response[wire.LendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Lend is not implemented"))
+}
+
+func (UnimplementedRelayServiceHandler) State(context.Context, *connect.Request[wire.StateRequest]) (*connect.Response[wire.StateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.State is not implemented"))
+}
+
+func (UnimplementedRelayServiceHandler) Explain(context.Context, *connect.Request[wire.ExplainRequest]) (*connect.Response[wire.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pimentogate.v1.RelayService.Explain is not implemented"))
+}
