Judge requests by their organisation's key

Callers of a deployment with organisations were served without a key, and their keys went on to replicas, relays and diversions. Nothing changes where the configuration names no organisations.

--- a/internal/coordination/matcher/routing_table.go
+++ b/internal/coordination/matcher/routing_table.go
@@ -43,19 +43,6 @@
 	HomeRegions []string
 }
 
-// Organisation is one customer that sends requests under keys of its own.
-type Organisation struct {
-	Name string
-	Keys []string
-	// Priority ranks the organisation's requests in place of the route's priority; nil leaves the route's.
-	Priority *int
-	// RatePerSecond and Burst are its allotment in requests over all instances; a rate of 0 means no limit.
-	RatePerSecond float64
-	Burst         float64
-	// HomeRegions limits the regions of its requests in addition to those of the route; empty allows all.
-	HomeRegions []string
-}
-
 // Service holds the settings that all replicas of a service share.
 type Service struct {
 	Name       string
@@ -82,6 +69,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Keyring holds the organisations; nil if the configuration names none, in which case requests need no key.
+	Keyring *Keyring
 
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -221,7 +221,7 @@
 	return shedder.Traffic{
 		Service:  service,
 		Class:    j.class,
-		Priority: j.request.Route.Priority,
+		Priority: j.request.Priority(),
 	}
 }
 
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -21,10 +21,16 @@
 	Deadline time.Time
 	// Runs is how many replicas of a service may have run the request already, sent by another instance.
 	Runs map[string]int
-	// Organisation is the name of the organisation that sent the request; empty if it has none.
-	Organisation string
-	// Priority ranks the request; 0 is the most urgent.
-	Priority int
+	// Organisation is the organisation that sent the request, or nil.
+	Organisation *matcher.Organisation
+}
+
+// Priority ranks the request; 0 is the most urgent. The organisation's rank takes the place of the route's.
+func (r *Request) Priority() int {
+	if r.Organisation != nil && r.Organisation.Priority != nil {
+		return *r.Organisation.Priority
+	}
+	return r.Route.Priority
 }
 
 // HeaderField is one header field of a reply.
--- a/internal/transport/forwarder/divert_service.go
+++ b/internal/transport/forwarder/divert_service.go
@@ -56,6 +56,9 @@
 		ArrivedAt:   now.Add(-time.Duration(msg.GetElapsedUs())*time.Microsecond - diversionHop),
 		Runs:        map[string]int{},
 	}
+	if table.Keyring != nil {
+		diverted.Organisation = table.Keyring.FindByName(call.Caller)
+	}
 	if msg.GetDeadlineUs() > 0 {
 		diverted.Deadline = now.Add(time.Duration(msg.GetDeadlineUs())*time.Microsecond - diversionHop)
 	}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -167,6 +167,12 @@
 // RecordUnmatched counts a request that matches no route.
 func (f *Forwarder) RecordUnmatched() { f.meter.requestsWithoutRoute.Inc(1) }
 
+// RecordUnauthorized counts and logs a request without a valid key.
+func (f *Forwarder) RecordUnauthorized(requestID, route string, hasKey bool) {
+	f.meter.requestsUnauthorized.Inc(1)
+	f.log.Info("request unauthorized", "request", requestID, "route", route, "has-key", hasKey)
+}
+
 // RoutingTable returns the current routing table, or nil if there is none yet.
 func (f *Forwarder) RoutingTable() *matcher.RoutingTable { return f.routingTable.Load() }
 
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -46,6 +46,7 @@
 	recordsLost          tally.Counter
 	logLinesDropped      tally.Gauge
 	requestsWithoutRoute tally.Counter
+	requestsUnauthorized tally.Counter
 	requestsInFlight     tally.Gauge
 	openConnections      tally.Gauge
 	minRetryBudget       tally.Gauge
@@ -80,6 +81,7 @@
 		recordsLost:          s.Counter("outcome_records_lost"),
 		logLinesDropped:      s.Gauge("log_lines_dropped"),
 		requestsWithoutRoute: s.Counter("requests_without_route"),
+		requestsUnauthorized: s.Counter("requests_unauthorized"),
 		requestsInFlight:     s.Gauge("requests_in_flight"),
 		openConnections:      s.Gauge("connections_open"),
 		minRetryBudget:       s.Gauge("repeat_budget_left_least"),
