--- a/internal/protocol/checker/decode.go
+++ b/internal/protocol/checker/decode.go
@@ -158,6 +158,8 @@
 		v.walkObject(value, typ, field)
 	case reflect.Slice:
 		v.walkArray(value, typ, field)
+	case reflect.Map:
+		v.walkMap(value, typ, field)
 	default:
 		v.walkLiteral(value, typ, field)
 	}
@@ -186,6 +188,19 @@
 	}
 }
 
+// walkMap walks an object whose names are not fields.
+func (v *validator) walkMap(value *hujson.Value, typ reflect.Type, field string) {
+	object, ok := value.Value.(*hujson.Object)
+	if !ok {
+		v.addMistake(field, "an object")
+		return
+	}
+	for i := range object.Members {
+		member := &object.Members[i]
+		v.walk(&member.Value, typ.Elem(), joinPath(field, member.Name.Value.(hujson.Literal).String()))
+	}
+}
+
 func (v *validator) walkArray(value *hujson.Value, typ reflect.Type, field string) {
 	array, ok := value.Value.(*hujson.Array)
 	if !ok {
--- a/internal/protocol/checker/settings_test.go
+++ b/internal/protocol/checker/settings_test.go
@@ -70,6 +70,20 @@
 	"election-timeout-ms": 5,
 }`
 
+const forwarderWithWrongValues = `{
+	"instance": "entry-1",
+	"zone": "zone-1",
+	"listen-callers": "127.0.0.1:7001",
+	"listen-readiness": "127.0.0.1:7002",
+	"listen-metrics": "127.0.0.1:7003",
+	"control-seeds": ["127.0.0.1:7101"],
+	"control-peers": "127.0.0.1:7102",
+	"zone-regions": {"zone-1": "region-1", "zone-2": 2},
+	"allotment-window-ms": 0,
+	"allotment-overage": -0.1,
+	"cold-overage": 0.5,
+}`
+
 const controlWithWrongTypes = `{
 	"instance": true,
 	"members": [{"id": "a", "address": "127.0.0.1:1", "learner": true}, "b"],
@@ -118,6 +132,7 @@
 		{"entry-no-object", `["entry"]`, readEntry},
 		{"control-values", controlWithWrongValues, readControl},
 		{"control-types", controlWithWrongTypes, readControl},
+		{"forwarder-values", forwarderWithWrongValues, readForwarder},
 		{"standin-values", standinWithWrongValues, readStandin},
 		{"standin-types", standinWithWrongTypes, readStandin},
 	}
@@ -170,6 +185,11 @@
 	return err
 }
 
+func readForwarder(path string) error {
+	_, err := ReadForwarder(path)
+	return err
+}
+
 func readControl(path string) error {
 	_, err := ReadControl(path)
 	return err
