Leave records out of relay messages that earlier ones outrank

A relay sent the top records of each of its messages, up to five for a query, although the origin merges all of them. It now sends only those that rank among the greatest of its messages so far. TestAccumulator checks that together they hold the same records.

--- a/internal/coordination/merger/records.go
+++ b/internal/coordination/merger/records.go
@@ -23,3 +23,36 @@
 	}
 	return slices.Concat(records...)
 }
+
+// Accumulator keeps the greatest records of parts that are added one after the other.
+type Accumulator struct {
+	limit int
+	// held holds the greatest records added so far, in descending order.
+	held []byte
+}
+
+// NewAccumulator returns an accumulator of up to limit records.
+func NewAccumulator(limit int) *Accumulator {
+	return &Accumulator{
+		limit: limit,
+	}
+}
+
+// Add adds parts and returns those of their records that are among the greatest added so far, in descending order. The results of all calls together contain the greatest records.
+func (a *Accumulator) Add(parts [][]byte) []byte {
+	added := TopRecords(parts, a.limit)
+	var merged, fresh []byte
+	held := a.held
+	for len(merged) < a.limit*RecordSize && len(held)+len(added) > 0 {
+		if len(added) == 0 || len(held) > 0 && bytes.Compare(held[:RecordSize], added[:RecordSize]) >= 0 {
+			merged = append(merged, held[:RecordSize]...)
+			held = held[RecordSize:]
+			continue
+		}
+		merged = append(merged, added[:RecordSize]...)
+		fresh = append(fresh, added[:RecordSize]...)
+		added = added[RecordSize:]
+	}
+	a.held = merged
+	return fresh
+}
--- a/internal/coordination/merger/records_test.go
+++ b/internal/coordination/merger/records_test.go
@@ -28,3 +28,30 @@
 		}
 	}
 }
+
+// TestAccumulator checks that what the calls return, put together, holds the greatest records of all parts, equal ones included, and leaves out what earlier calls make useless.
+func TestAccumulator(t *testing.T) {
+	batches := [][]string{{"d", "b", "b"}, {"e", "a"}, {"d", "d", "c"}, {}, {"b"}}
+	wants := []string{"dbb", "e", "d", "", ""}
+	a := NewAccumulator(3)
+	var all, returned [][]byte
+	for i, batch := range batches {
+		var parts [][]byte
+		for _, char := range batch {
+			parts = append(parts, []byte(recordOf(char)))
+		}
+		all = append(all, parts...)
+		fresh := a.Add(parts)
+		returned = append(returned, fresh)
+		var want strings.Builder
+		for _, char := range wants[i] {
+			want.WriteString(recordOf(string(char)))
+		}
+		if string(fresh) != want.String() {
+			t.Errorf("batch %d: got %q, want %q", i, fresh, want.String())
+		}
+	}
+	if got, want := TopRecords(returned, 3), TopRecords(all, 3); string(got) != string(want) {
+		t.Errorf("together: got %q, want %q", got, want)
+	}
+}
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -36,6 +36,7 @@
 		call:      callFromRequest(msg),
 		topK:      int(msg.GetTopK()),
 		merges:    msg.GetMerge(),
+		merged:    merger.NewAccumulator(int(msg.GetTopK())),
 		deadline:  time.Now().Add(time.Duration(msg.GetStopUs()) * time.Microsecond),
 		parts:     make(chan *wire.RelayPart, len(msg.GetItems())),
 	}
@@ -51,7 +52,9 @@
 	call      *exchanger.Call
 	topK      int
 	// merges is set if the successful replies of a message are merged.
-	merges    bool
+	merges bool
+	// merged holds the merged records of the messages sent so far.
+	merged    *merger.Accumulator
 	deadline  time.Time
 	exchanges []*exchanger.Exchange
 	parts     chan *wire.RelayPart
@@ -124,7 +127,7 @@
 	return nil
 }
 
-// newResponse returns the message with the parts.
+// newResponse returns the message with the parts. It leaves out records that those of earlier messages outrank, which the sender merges with it.
 func (r *incomingRelay) newResponse(parts []*wire.RelayPart) *wire.RelayResponse {
 	response := &wire.RelayResponse{
 		Parts: parts,
@@ -139,7 +142,8 @@
 			part.Body = nil
 		}
 	}
-	response.Merged = merger.TopRecords(bodies, r.topK)
+	// A message without records is merged too.
+	response.Merged = append([]byte{}, r.merged.Add(bodies)...)
 	return response
 }
 
