--- a/internal/transport/controller/addresses.go
+++ b/internal/transport/controller/addresses.go
@@ -36,6 +36,13 @@
 	a.members = members
 }
 
+// currentMembers returns the journal's members.
+func (a *addresses) currentMembers() journaler.Members {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.members
+}
+
 // addFallback adds the members that another instance returned, for an instance whose own journal is still empty.
 func (a *addresses) addFallback(members []*wire.ControlMember) {
 	a.mutex.Lock()
