Charge requests to their organisation's allotment

Organisations have a rate and a burst over all instances, which nothing enforced.

Each availability zone has a keeper for each organisation, which holds the zone's tokens, leases them to instances and borrows from the keepers of other zones. A request without a token is refused with 429, or with 503 if no keeper knows.

--- /dev/null
+++ b/internal/coordination/allotter/limit.go
@@ -0,0 +1,59 @@
+package allotter
+
+import "time"
+
+const (
+	// keeperRanks is how many instances of an availability zone may keep an organisation's tokens: the keeper and its stand-ins. All of them may grant start tokens within one window, so the number bounds their sum.
+	keeperRanks = 3
+	// startShare is the part of the slack that all keepers and stand-ins together may start with.
+	startShare = 0.5
+	// standInShare is the part of the slack that all stand-ins together may earn in a window.
+	standInShare = 0.125
+	// extraBurstShare is the part of the slack by which the buckets may exceed the burst. Dividing the burst by zones loses up to a zone's part when one zone has all the requests.
+	extraBurstShare = 0.125
+	// minCapacityShare is the largest part of the slack that is used to let each zone's bucket hold one token.
+	minCapacityShare = 0.25
+)
+
+// Limit is the allotment of one organisation over all instances; a rate of 0 means no limit.
+type Limit struct {
+	Organisation string
+	Rate         float64
+	Burst        float64
+}
+
+// Terms state by how much the requests of an organisation may exceed its allotment, and between how many availability zones it is divided.
+type Terms struct {
+	Window    time.Duration
+	Overage   float64
+	Tolerance float64
+	Zones     int
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
+}
+
+// slack returns by how many requests the organisation may exceed its allotment in a window.
+func (t *Terms) slack(l *Limit) float64 {
+	return t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Tolerance
+}
+
+// share is the part of an allotment that one keeper has.
+type share struct {
+	// rate and capacity belong to the zone's keeper. standInRate and start are the safe ones of an instance that may not be the only keeper.
+	rate        float64
+	capacity    float64
+	standInRate float64
+	start       float64
+}
+
+func (t *Terms) shareOf(l *Limit) share {
+	zones := float64(max(1, t.Zones))
+	slack := t.slack(l)
+	s := share{
+		rate:     l.Rate / zones,
+		capacity: max((l.Burst+extraBurstShare*slack)/zones, min(1, minCapacityShare*slack/zones)),
+	}
+	s.standInRate = min(s.rate, standInShare*slack/t.Window.Seconds()/(zones*(keeperRanks-1)))
+	s.start = min(s.capacity, startShare*slack/(zones*keeperRanks))
+	return s
+}
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -154,6 +154,9 @@
 	ReasonCallerGone    Reason = "caller-gone"
 	ReasonIsolated      Reason = "instance-isolated"
 	ReasonPeerFailed    Reason = "peer-failed"
+	// ReasonOverAllotment and ReasonAllotmentUnknown refuse a request before it is sent, because its organisation has used its allotment or because that is not known.
+	ReasonOverAllotment    Reason = "over-allotment"
+	ReasonAllotmentUnknown Reason = "allotment-unknown"
 )
 
 // DecisionKind says what kind of answer the caller gets.
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -157,6 +157,9 @@
 
 // recordAnswer records that a control instance has answered a call and whether it was in contact with a quorum.
 func (d *directory) recordAnswer(address string, confirmed bool) {
+	if confirmed {
+		d.forwarder.allotments.contact.recordConfirmed()
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.subscriber.RecordAnswer(address, confirmed)
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -70,6 +70,7 @@
 	preconnector *preconnector
 	crashes      *crashReporter
 	isolation    *isolationMonitor
+	allotments   *allotments
 	records      *depositor.Depositor
 	stop         chan struct{}
 	done         chan struct{}
@@ -110,6 +111,7 @@
 	f.preconnector = newPreconnector(f)
 	f.crashes = newCrashReporter(f)
 	f.isolation = newIsolationMonitor(f)
+	f.allotments = newAllotments(f)
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
@@ -118,6 +120,7 @@
 	go f.preconnector.run()
 	go f.crashes.run()
 	go f.isolation.run()
+	go f.allotments.run()
 	f.records = depositor.New(settings.Instance, outcomeRecordBounds, listener.NewClient(), f.directory.primaryAddresses, f.meter.recordsLost, f.log)
 	f.log.Info("started", "callers", settings.ListenCallers, "readiness", settings.ListenReadiness)
 	return f, nil
@@ -200,6 +203,7 @@
 	close(f.stop)
 	f.records.Close()
 	f.directory.close()
+	f.allotments.close()
 	f.peers.close()
 	f.gauges.close()
 	f.preconnector.close()
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -117,6 +117,7 @@
 	}
 	p.zoneInstances.Store(int64(p.zoneInstanceCount.Update(time.Now(), zoneInstances)))
 	f := p.forwarder
+	f.allotments.update(entries)
 	f.mutex.Lock()
 	previous := p.relayer.Preferred()
 	changed := p.relayer.Update(peerList)
--- a/internal/transport/forwarder/request_log.go
+++ b/internal/transport/forwarder/request_log.go
@@ -65,9 +65,9 @@
 	return l
 }
 
-// shouldLog reports whether a request is logged. Requests without a complete answer are always logged, others are sampled.
+// shouldLog reports whether a request is logged. Requests without a complete answer are always logged, others are sampled, and so are those over their organisation's allotment, of which an organisation may send any number.
 func shouldLog(call *exchanger.Call, d *scatterer.Decision) bool {
-	return d.Reason != scatterer.ReasonNone || xxhash.Sum64String(call.ID)%logSampleInterval == 0
+	return d.Reason != scatterer.ReasonNone && d.Reason != scatterer.ReasonOverAllotment || xxhash.Sum64String(call.ID)%logSampleInterval == 0
 }
 
 func (l *requestLogger) add(entry requestEntry) {
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
@@ -37,10 +38,23 @@
 	a.request.job.RecordWritten(time.Now())
 }
 
-// Serve answers a caller's request along its route, which is of the given configuration version. If this instance is isolated or could not send the request, peers answer in its place if one takes the request.
+// Serve answers a caller's request along its route, which is of the given configuration version, after charging it to its organisation's allotment. The token of a request that has not run is given back.
 func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	var refusal *AllotmentError
+	if errors.As(f.allotments.charge(ctx, &request), &refusal) {
+		return f.refuse(call, request, version, refusal.Reason, refusal.RetryAfter)
+	}
+	answer := f.serveCharged(ctx, call, request, version)
+	if answer.Decision.Kind == scatterer.Refused {
+		f.allotments.refund(request.Organisation)
+	}
+	return answer
+}
+
+// serveCharged answers a request that may be sent. If this instance is isolated or could not send the request, peers answer in its place if one takes the request.
+func (f *Forwarder) serveCharged(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	v := &diversion{
 		forwarder: f,
 		call:      call,
@@ -51,7 +65,8 @@
 		if diverted := v.run(ctx); diverted != nil {
 			return *diverted
 		}
-		return f.refuseIsolated(call, request, version)
+		// The caller may reach another instance at its next try.
+		return f.refuse(call, request, version, scatterer.ReasonIsolated, scatterer.RetryAfterFailure)
 	}
 	answer := f.serveHere(ctx, call, request, version)
 	if answer.canDivert() {
@@ -64,17 +79,18 @@
 	return answer
 }
 
-// refuseIsolated refuses a request that neither this instance nor a peer can send to replicas. The caller may reach another instance at its next try.
-func (f *Forwarder) refuseIsolated(call *exchanger.Call, request scatterer.Request, version uint64) Answer {
+// refuse refuses a request of which nothing was sent.
+func (f *Forwarder) refuse(call *exchanger.Call, request scatterer.Request, version uint64, reason scatterer.Reason, retryAfter time.Duration) Answer {
 	r := f.newActiveRequest(call, request, version)
 	f.mutex.Lock()
 	r.job = scatterer.New(request, f.policies)
-	r.job.Refuse(scatterer.ReasonIsolated)
+	r.job.Refuse(reason)
 	answer := Answer{
 		Decision: *r.job.Decision(),
 		Route:    request.Route,
 		request:  r,
 	}
+	answer.Decision.RetryAfter = retryAfter
 	r.log(time.Now(), &answer.Decision)
 	f.mutex.Unlock()
 	answer.record()
@@ -314,7 +330,7 @@
 	now := time.Now()
 	latency := now.Sub(r.request.ArrivedAt)
 	f.meter.recordRequest(r.request.Route.Name, d, latency)
-	if d.Reason != scatterer.ReasonCallerGone {
+	if d.Reason != scatterer.ReasonCallerGone && d.Reason != scatterer.ReasonOverAllotment {
 		f.advertiser.Observe(now, d.Kind == scatterer.Relayed || d.Kind == scatterer.Gathered)
 	}
 	f.records.Add(newOutcomeRecord(r, d, latency))
