--- a/internal/coordination/allotter/keeper.go
+++ b/internal/coordination/allotter/keeper.go
@@ -73,7 +73,7 @@
 	isConfigured bool
 	// startsFirst is set if the first configuration was received at the first start of the whole deployment.
 	startsFirst bool
-	lastEvent    time.Time
+	lastEvent   time.Time
 	// inContact is set while the instance knows that its list of instances is current, or that it reaches most of its zone.
 	inContact bool
 	usage     map[string]*usage
--- a/internal/coordination/allotter/limit.go
+++ b/internal/coordination/allotter/limit.go
@@ -53,7 +53,7 @@
 		rate:     l.Rate / zones,
 		capacity: max((l.Burst+extraBurstShare*slack)/zones, min(1, minCapacityShare*slack/zones)),
 	}
-	s.standInRate = min(s.rate, standInShare*slack/t.Window.Seconds()/(zones*(keeperRanks-1)))
+	s.standInRate = min(s.rate, standInShare*slack/max(t.Window, time.Millisecond).Seconds()/(zones*(keeperRanks-1)))
 	s.start = min(s.capacity, startShare*slack/(zones*keeperRanks))
 	return s
 }
--- a/internal/coordination/allotter/usage.go
+++ b/internal/coordination/allotter/usage.go
@@ -28,11 +28,21 @@
 	u.usual.add(now, usualMemory, cost)
 }
 
-// Use returns the organisation's recent and long-term use in the availability zone, in the unit of the reported cost per second.
-func (k *Keeper) Use(now time.Time, organisation string) (usedPerSecond, usualPerSecond float64) {
+// Use is the use of an organisation in the availability zone, in the unit of the reported cost.
+type Use struct {
+	// RecentPerSecond and UsualPerSecond are the use of the last seconds and of the last minutes.
+	RecentPerSecond float64
+	UsualPerSecond  float64
+}
+
+// Use returns the organisation's use, zero if none was reported.
+func (k *Keeper) Use(now time.Time, organisation string) Use {
 	u, ok := k.usage[organisation]
 	if !ok {
-		return 0, 0
+		return Use{}
+	}
+	return Use{
+		RecentPerSecond: u.recent.perSecond(now, recentMemory),
+		UsualPerSecond:  u.usual.perSecond(now, usualMemory),
 	}
-	return u.recent.perSecond(now, recentMemory), u.usual.perSecond(now, usualMemory)
 }
--- a/internal/transport/forwarder/allotment_service.go
+++ b/internal/transport/forwarder/allotment_service.go
@@ -57,12 +57,12 @@
 	if granted.Tokens > 0 || item.GetTokens() <= 0 {
 		a.keeper.AddUse(now, organisation, item.GetUsed())
 	}
-	used, usual := a.keeper.Use(now, organisation)
+	use := a.keeper.Use(now, organisation)
 	answer := &wire.AllotGrant{
 		Tokens:         granted.Tokens,
 		LifetimeMs:     uint32(allotter.LeaseDuration.Milliseconds()),
-		UsedPerSecond:  used,
-		UsualPerSecond: usual,
+		UsedPerSecond:  use.RecentPerSecond,
+		UsualPerSecond: use.UsualPerSecond,
 	}
 	if granted.Tokens == 0 && !granted.IsUnknown {
 		answer.RetryAfterUs = uint64(granted.RetryAfter.Microseconds())
--- a/internal/transport/forwarder/allotments.go
+++ b/internal/transport/forwarder/allotments.go
@@ -82,13 +82,18 @@
 		holder:    allotter.NewHolder(),
 		done:      make(chan struct{}),
 	}
+	if f.settings.ListenPeers == "" {
+		// Other instances can't call this one, and control does not list it.
+		roster.Update(now, nil)
+	}
 	a.contact = newContactMonitor(a)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
 
-// setUseListener sets who receives the use of organisations. It is called from the goroutines of requests.
-func (a *allotments) setUseListener(listener UseListener) {
+// SetUseListener sets who receives the use of organisations, in the goroutines of requests.
+func (f *Forwarder) SetUseListener(listener UseListener) {
+	a := f.allotments
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.useListener = listener
