--- a/internal/coordination/allotter/holder.go
+++ b/internal/coordination/allotter/holder.go
@@ -91,7 +91,7 @@
 // Wanted returns how many tokens to ask for: one for the request, and those of the requests expected soon.
 func (h *Holder) Wanted(now time.Time, organisation string) float64 {
 	expected := h.accountOf(organisation).demand.perSecond(now, demandMemory) * demandSpan.Seconds()
-	return min(1+math.Round(expected), maxWanted)
+	return min(1+math.Floor(expected), maxWanted)
 }
 
 // Accept adds granted tokens, of which one is for the request that asked, and reports whether there is one.
--- a/internal/coordination/allotter/keeper.go
+++ b/internal/coordination/allotter/keeper.go
@@ -9,13 +9,15 @@
 	// takeoverDelay is how long an instance must have ranked first before it earns the zone's rate. The previous keeper learns of it meanwhile and stops earning.
 	takeoverDelay = time.Second
 	// settleDelay is how long a new process waits after the first list of instances before it keeps tokens. First lists may be short while a fleet starts, and each instance on one would take itself for the keeper of everything.
-	settleDelay = 500 * time.Millisecond
+	settleDelay = 250 * time.Millisecond
 	// suspensionLimit is the longest time between two events of a process that was not suspended. The owner calls Tick every 250 ms.
 	suspensionLimit = time.Second
 	// forgetDelay is how long an instance keeps the tokens of organisations for which it has no rank any more. It exceeds any window, so that an instance that regains its rank does not get its start tokens twice in one.
 	forgetDelay = 30 * time.Second
 	// lendRetry is the longest time for which a lender without tokens is not asked again.
 	lendRetry = 200 * time.Millisecond
+	// cutDelay is how long no lender must have responded for a keeper without tokens to count as cut off.
+	cutDelay = 500 * time.Millisecond
 	// maxQueue is the longest time by which retry times are spread beyond the time of the next token.
 	maxQueue = 10 * time.Second
 	// grantMemory is the time constant of the estimated rate of grants.
@@ -59,6 +61,8 @@
 	// lenderRetryAt is the earliest time at which a lender expects to have a token.
 	lenderRetryAt time.Time
 	lenderSeenAt  time.Time
+	// isCut is set while no lender responds.
+	isCut bool
 }
 
 // Keeper holds the tokens of the organisations for which an instance is the keeper or a stand-in of its availability zone. It is not safe for concurrent use.
@@ -229,6 +233,9 @@
 	rate, capacity := b.share.standInRate, b.share.start
 	if k.isFirst(now, b) {
 		rate, capacity = b.share.rate, b.share.capacity
+		if b.isCut {
+			rate = b.share.cutRate
+		}
 	}
 	if b.level < capacity {
 		b.level = min(capacity, b.level+rate*elapsed)
@@ -270,6 +277,7 @@
 
 // deny returns the answer to a request without a token.
 func (k *Keeper) deny(now time.Time, b *bucket) Grant {
+	b.isCut = now.Sub(b.lenderSeenAt) > cutDelay
 	return Grant{
 		Missing:    1 - b.level + min(b.grants.perSecond(now, grantMemory)*demandSpan.Seconds(), max(0, b.share.capacity/2-1)),
 		RetryAfter: k.waitFor(now, b),
@@ -282,6 +290,9 @@
 	rate := b.share.standInRate
 	if k.isFirst(now, b) {
 		rate = b.share.rate
+		if b.isCut {
+			rate = b.share.cutRate
+		}
 	}
 	wait := time.Hour
 	if rate > 0 {
@@ -357,6 +368,7 @@
 	}
 	k.advance(now, b)
 	b.lenderSeenAt = now
+	b.isCut = false
 	b.level = min(b.level+max(0, min(loan.Tokens, wanted)), max(b.share.capacity, 1))
 	if loan.Tokens >= wanted {
 		delete(b.askLenderAt, lender)
--- a/internal/coordination/allotter/limit.go
+++ b/internal/coordination/allotter/limit.go
@@ -5,12 +5,15 @@
 const (
 	// keeperRanks is how many instances of an availability zone may keep an organisation's tokens: the keeper and its stand-ins. All of them may grant start tokens within one window, so the number bounds their sum.
 	keeperRanks = 3
-	// startShare is the part of the slack that all keepers and stand-ins together may start with.
-	startShare = 0.5
-	// standInShare is the part of the slack that all stand-ins together may earn in a window.
-	standInShare = 0.125
-	// extraBurstShare is the part of the slack by which the buckets may exceed the burst. Dividing the burst by zones loses up to a zone's part when one zone has all the requests.
-	extraBurstShare = 0.125
+	// The four shares below divide the slack that leases leave, so that the allotment holds while all of these faults come at once.
+	// startShare is the part that all keepers and stand-ins together may start with.
+	startShare = 0.45
+	// standInShare is the part that all stand-ins together may earn in a window.
+	standInShare = 0.2
+	// cutShare is the part that all keepers that reach no lender may earn together in a window beyond their zones' rates.
+	cutShare = 0.25
+	// extraBurstShare is the part by which the buckets may exceed the burst. Dividing the burst by zones loses up to a zone's part when one zone has all the requests.
+	extraBurstShare = 0.1
 	// minCapacityShare is the largest part of the slack that is used to let each zone's bucket hold one token.
 	minCapacityShare = 0.25
 )
@@ -32,9 +35,9 @@
 	FirstStart bool
 }
 
-// slack returns by how many requests the organisation may exceed its allotment in a window.
+// slack returns by how many requests the organisation may exceed its allotment in a window, less those that leases granted before the window may add to it.
 func (t *Terms) slack(l *Limit) float64 {
-	return t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Tolerance
+	return max(0, t.Overage*(l.Rate*t.Window.Seconds()+l.Burst)+t.Tolerance-l.Rate*LeaseDuration.Seconds())
 }
 
 // share is the part of an allotment that one keeper has.
@@ -44,6 +47,8 @@
 	capacity    float64
 	standInRate float64
 	start       float64
+	// cutRate is the rate of a zone's keeper that reaches no lender.
+	cutRate float64
 }
 
 func (t *Terms) shareOf(l *Limit) share {
@@ -53,7 +58,9 @@
 		rate:     l.Rate / zones,
 		capacity: max((l.Burst+extraBurstShare*slack)/zones, min(1, minCapacityShare*slack/zones)),
 	}
-	s.standInRate = min(s.rate, standInShare*slack/max(t.Window, time.Millisecond).Seconds()/(zones*(keeperRanks-1)))
+	window := max(t.Window, time.Millisecond).Seconds()
+	s.standInRate = min(s.rate, standInShare*slack/window/(zones*(keeperRanks-1)))
+	s.cutRate = min(l.Rate, s.rate+cutShare*slack/window/zones)
 	s.start = min(s.capacity, startShare*slack/(zones*keeperRanks))
 	return s
 }
--- a/internal/coordination/allotter/roster.go
+++ b/internal/coordination/allotter/roster.go
@@ -51,7 +51,7 @@
 		peers:  map[string]*peer{},
 		byZone: map[string][]*peer{},
 	}
-	r.put(self)
+	_ = r.put(self)
 	r.group()
 	return r
 }
@@ -67,16 +67,20 @@
 			p.unlistedSince = now
 		}
 	}
+	changed := false
 	for _, m := range members {
 		if m.Instance != r.self.Instance && m.Address != "" {
-			r.put(m)
+			changed = r.put(m) || changed
 		}
 	}
+	if changed {
+		r.group()
+	}
 	r.Expire(now)
-	r.group()
 }
 
-func (r *Roster) put(m Member) {
+// put adds or updates an instance, and reports whether it is new or has changed.
+func (r *Roster) put(m Member) bool {
 	p, ok := r.peers[m.Instance]
 	if !ok {
 		p = &peer{
@@ -84,12 +88,14 @@
 		}
 		r.peers[m.Instance] = p
 	}
-	if p.Address != m.Address {
-		// Another process runs at the new address.
-		p.bypassedUntil, p.absentUntil = time.Time{}, time.Time{}
+	p.listed = true
+	if p.Member == m {
+		return false
 	}
+	// Another process runs at a new address.
+	p.bypassedUntil, p.absentUntil = time.Time{}, time.Time{}
 	p.Member = m
-	p.listed = true
+	return true
 }
 
 // Expire removes instances that have not been listed for removalDelay, and ranks those again whose build may have changed.
