--- a/internal/coordination/allotter/simulation_test.go
+++ b/internal/coordination/allotter/simulation_test.go
@@ -13,9 +13,10 @@
 	simOrganisations = 83
 	simStep          = 10 * time.Millisecond
 	simDuration      = 90 * time.Second
-	// listInterval is how often an instance gets the list, and lossDelay when control drops an instance that it does not hear.
-	listInterval = 500 * time.Millisecond
-	lossDelay    = 3 * time.Second
+	// listInterval is how often an instance gets the list, firstListDelay when a new one gets its first, and lossDelay when control drops an instance that it does not hear.
+	listInterval   = 500 * time.Millisecond
+	firstListDelay = 200 * time.Millisecond
+	lossDelay      = 3 * time.Second
 	// rejectedShare is the share of requests that replicas reject, and lostShare that of answers of keepers and lenders lost on days with faults.
 	rejectedShare = 0.02
 	lostShare     = 0.005
@@ -33,6 +34,7 @@
 	isFrozen  bool
 	piece     int
 	version   int
+	startedAt time.Time
 	heardAt   time.Time
 	confirmed time.Time
 	phase     int
@@ -138,7 +140,7 @@
 	i.keeper = NewKeeper(i.roster, s.now)
 	i.holder = NewHolder()
 	i.isDown, i.isFrozen, i.version = false, false, 0
-	i.heardAt = s.now
+	i.heardAt, i.startedAt = s.now, s.now
 }
 
 func (s *simulation) restartAll() {
@@ -180,7 +182,8 @@
 		}
 		if s.isControlled(i.piece) {
 			i.heardAt = s.now
-			if (step+7*i.phase)%int(listInterval/simStep) == 0 {
+			isFirst := !i.roster.IsKnown() && s.now.Sub(i.startedAt) >= firstListDelay
+			if isFirst || (step+7*i.phase)%int(listInterval/simStep) == 0 {
 				s.list(n, i)
 			}
 		}
