--- a/internal/coordination/allotter/keeper.go
+++ b/internal/coordination/allotter/keeper.go
@@ -20,6 +20,8 @@
 	cutDelay = 500 * time.Millisecond
 	// maxQueue is the longest time by which retry times are spread beyond the time of the next token.
 	maxQueue = 10 * time.Second
+	// minPromiseRate is the lowest rate in tokens per second by which retry times are computed; it limits them to some minutes.
+	minPromiseRate = 0.005
 	// grantMemory is the time constant of the estimated rate of grants.
 	grantMemory = 3 * time.Second
 )
@@ -55,7 +57,9 @@
 	unrankedSince time.Time
 	// promisedUntil is the last retry time that was given to a caller.
 	promisedUntil time.Time
-	grants        average
+	// grants and borrowed are the rates at which tokens were granted and borrowed.
+	grants   average
+	borrowed average
 	// askLenderAt holds when to ask a lender again that had nothing.
 	askLenderAt map[string]time.Time
 	// lenderRetryAt is the earliest time at which a lender expects to have a token.
@@ -230,19 +234,28 @@
 		return
 	}
 	b.advancedAt = now
-	rate, capacity := b.share.standInRate, b.share.start
+	capacity := b.share.start
 	if k.isFirst(now, b) {
-		rate, capacity = b.share.rate, b.share.capacity
-		if b.isCut {
-			rate = b.share.cutRate
-		}
+		capacity = b.share.capacity
 	}
 	if b.level < capacity {
-		b.level = min(capacity, b.level+rate*elapsed)
+		b.level = min(capacity, b.level+k.rateOf(now, b)*elapsed)
 	}
 	b.level = min(b.level, max(b.share.capacity, 1))
 }
 
+// rateOf returns how many tokens the bucket earns per second.
+func (k *Keeper) rateOf(now time.Time, b *bucket) float64 {
+	switch {
+	case !k.isFirst(now, b):
+		return b.share.standInRate
+	case b.isCut:
+		return b.share.cutRate
+	default:
+		return b.share.rate
+	}
+}
+
 // Keeps reports whether this instance may grant tokens of the organisation.
 func (k *Keeper) Keeps(now time.Time, organisation string) bool {
 	b := k.buckets[organisation]
@@ -287,31 +300,21 @@
 
 // waitFor returns when the bucket will have a token.
 func (k *Keeper) waitFor(now time.Time, b *bucket) time.Duration {
-	rate := b.share.standInRate
-	if k.isFirst(now, b) {
-		rate = b.share.rate
-		if b.isCut {
-			rate = b.share.cutRate
-		}
-	}
-	wait := time.Hour
-	if rate > 0 {
-		wait = time.Duration((1 - b.level) / rate * float64(time.Second))
-	}
+	wait := time.Duration((1 - b.level) / max(k.rateOf(now, b), minPromiseRate) * float64(time.Second))
 	if lender := b.lenderRetryAt.Sub(now); lender > 0 {
 		wait = min(wait, lender)
 	}
 	return max(wait, time.Millisecond)
 }
 
-// Promise returns the retry time for a caller that is refused. Callers refused in succession get successive times, in the rhythm of the grants.
+// Promise returns the retry time for a caller that is refused. Callers refused in succession get successive times, at the rate at which the zone earns and borrows tokens.
 func (k *Keeper) Promise(now time.Time, organisation string, g Grant) time.Duration {
 	b := k.buckets[organisation]
 	if b == nil {
 		return g.RetryAfter
 	}
 	earliest := now.Add(g.RetryAfter)
-	interval := time.Duration(float64(time.Second) / max(b.share.rate, b.grants.perSecond(now, grantMemory), 1e-6))
+	interval := time.Duration(float64(time.Second) / max(k.rateOf(now, b)+b.borrowed.perSecond(now, grantMemory), minPromiseRate))
 	at := b.promisedUntil.Add(interval)
 	if at.Before(earliest) {
 		at = earliest
@@ -369,7 +372,9 @@
 	k.advance(now, b)
 	b.lenderSeenAt = now
 	b.isCut = false
-	b.level = min(b.level+max(0, min(loan.Tokens, wanted)), max(b.share.capacity, 1))
+	accepted := max(0, min(loan.Tokens, wanted))
+	b.level = min(b.level+accepted, max(b.share.capacity, 1))
+	b.borrowed.add(now, grantMemory, accepted)
 	if loan.Tokens >= wanted {
 		delete(b.askLenderAt, lender)
 		return
--- a/internal/coordination/allotter/simulation_test.go
+++ b/internal/coordination/allotter/simulation_test.go
@@ -42,8 +42,8 @@
 
 // simOrganisation is an organisation with its callers' instances, and what it has sent.
 type simOrganisation struct {
-	limit    Limit
-	usual    float64
+	limit Limit
+	usual float64
 	// factor is how many times its usual rate it sends. If it comes in bursts, it sends nothing between them, so that all buckets are full at the start of each.
 	factor   float64
 	inBursts bool
