Tell the work of requests from the slowness of replicas

balancer.cost kept one latency per replica for all classes of requests, so that a replica that had the costly requests counted as slow, and knew no share of rejections: a rejection put the replica into the backoff of a failure. A new package, estimator, keeps the work of each class, and the slowness and the shares of rejected and lost attempts of each replica, which decay towards the mean. The reply times of one request at many shards are compared with their median once the request is decided. The cost of a replica is the expected time to a useful reply, in which a rejection costs a repeat, the more of it the more attempts of the fleet fail.

The tests of balancer, scatterer and estimator pass.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/estimator"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 )
 
@@ -40,8 +41,15 @@
 type ReplicaState struct {
 	Replica
 
-	latency             time.Duration
-	startTimes          []time.Time
+	latency  time.Duration
+	estimate estimator.Replica
+	// hash names the replica in conditions.
+	hash       uint64
+	startTimes []time.Time
+	// relayedTimes holds the start times of the attempts that this instance relays for peers.
+	relayedTimes []time.Time
+	// isDeviating is set while the replica is in the balancer's list of those that deviate.
+	isDeviating         bool
 	consecutiveFailures int
 	backoffUntil        time.Time
 	// pacer is nil unless the replica states a rate limit.
@@ -64,6 +72,7 @@
 type serviceState struct {
 	replicas    []*ReplicaState
 	meanLatency time.Duration
+	estimate    estimator.Service
 }
 
 // Balancer tracks the state of all replicas; it is not safe for concurrent use.
@@ -73,6 +82,16 @@
 	services     map[string]*serviceState
 	replicasByID map[string]*ReplicaState
 	latencies    map[string]*latencyWindow
+	estimator    *estimator.Estimator
+	// replicasByHash holds the replicas by the hashes that conditions name.
+	replicasByHash map[uint64]*ReplicaState
+	// deviating holds replicas of the own availability zone whose conditions may have to be told to peers.
+	deviating []*ReplicaState
+	// fleet is the share of failed attempts at all replicas at fleetFailuresAt.
+	fleet           estimator.Failures
+	fleetFailuresAt time.Time
+	// sortSpace is reused to find medians.
+	sortSpace []time.Duration
 	// instances is the number of entry instances that share the rate limits of replicas.
 	instances int
 }
@@ -85,7 +104,10 @@
 		services:     map[string]*serviceState{},
 		replicasByID: map[string]*ReplicaState{},
 		latencies:    map[string]*latencyWindow{},
+		estimator:    estimator.New(),
 		instances:    1,
+
+		replicasByHash: map[uint64]*ReplicaState{},
 	}
 }
 
@@ -102,8 +124,10 @@
 	b.Remove(replica.ID)
 	added := &ReplicaState{
 		Replica: replica,
+		hash:    hashReplica(replica.ID),
 	}
 	b.replicasByID[replica.ID] = added
+	b.replicasByHash[added.hash] = added
 	s := b.ensureService(replica.Service)
 	s.replicas = append(s.replicas, added)
 }
@@ -115,6 +139,7 @@
 		return
 	}
 	delete(b.replicasByID, id)
+	delete(b.replicasByHash, existing.hash)
 	s := b.services[existing.Service]
 	for i, other := range s.replicas {
 		if other == existing {
@@ -199,12 +224,22 @@
 	return l
 }
 
-// Pick returns the replica with the lowest cost, or sometimes a random one, among those that accept an attempt now and for which accept returns true, or nil if there is none.
+// Pick is PickFor for a request of typical work.
 func (b *Balancer) Pick(now time.Time, service string, accept func(*ReplicaState) bool) *ReplicaState {
-	s := b.services[service]
+	return b.PickFor(now, Demand{
+		Service: service,
+	}, accept)
+}
+
+// PickFor returns the replica with the lowest cost, or sometimes a random one, among those that accept an attempt now and for which accept returns true, or nil if there is none.
+func (b *Balancer) PickFor(now time.Time, demand Demand, accept func(*ReplicaState) bool) *ReplicaState {
+	s := b.services[demand.Service]
 	if s == nil {
 		return nil
 	}
+	if demand.Work == 0 {
+		demand.Work = s.typicalLatency()
+	}
 	var best *ReplicaState
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
@@ -212,7 +247,7 @@
 		if candidate.hasLeft(now) || candidate.nextSend(now).After(now) || !accept(candidate) {
 			continue
 		}
-		cost := b.cost(now, s, candidate)
+		cost := b.cost(now, s, candidate, demand.Work)
 		if explore && !candidate.isBackingOff(now) && !candidate.isLastResort() {
 			cost = time.Duration(b.random.Int64N(int64(time.Millisecond)))
 		}
@@ -223,31 +258,10 @@
 	return best
 }
 
-// cost returns the expected latency of an attempt at the replica, including the queue at its slots, plus penalties.
-func (b *Balancer) cost(now time.Time, s *serviceState, r *ReplicaState) time.Duration {
-	latency := r.latency
-	if latency == 0 {
-		latency = s.typicalLatency()
-	}
-	cost := latency
-	if queued := r.InFlight() + 1 - r.Slots; queued > 0 && r.Slots > 0 {
-		cost += latency * time.Duration(queued) / time.Duration(r.Slots)
-	}
-	cost += latency * time.Duration(r.InFlight()) / 4
-	if r.Zone != b.zone {
-		cost += crossZonePenalty
-	}
-	if oldestAge := r.oldestAttemptAge(now); oldestAge > stallFactor*s.typicalLatency() {
-		cost += oldestAge
-	}
-	if r.isBackingOff(now) {
-		cost += maxBackoff
-	}
-	if r.isLastResort() {
-		cost += 2 * maxBackoff
-	}
-	// Random jitter breaks ties, so that instances do not all pick the same replica.
-	return cost + time.Duration(b.random.Int64N(int64(time.Millisecond)/4))
+// cost returns the expected time to a useful reply of an attempt at the replica, plus penalties. Random jitter breaks ties, so that instances do not all pick the same replica.
+func (b *Balancer) cost(now time.Time, s *serviceState, r *ReplicaState, work time.Duration) time.Duration {
+	cost := b.costOf(now, s, r, work)
+	return cost.Total() + time.Duration(b.random.Int64N(int64(time.Millisecond)/4))
 }
 
 // isLastResort reports whether the replica may stop at any moment or has stopped already.
@@ -282,16 +296,35 @@
 
 // RecordEnd records the end of the attempt that started at the given time.
 func (b *Balancer) RecordEnd(r *ReplicaState, startedAt time.Time) {
-	for i, start := range r.startTimes {
-		if start.Equal(startedAt) {
-			r.startTimes = append(r.startTimes[:i], r.startTimes[i+1:]...)
-			return
+	r.startTimes = removeTime(r.startTimes, startedAt)
+}
+
+// removeTime removes the time from the list once.
+func removeTime(times []time.Time, removed time.Time) []time.Time {
+	for i, t := range times {
+		if t.Equal(removed) {
+			return append(times[:i], times[i+1:]...)
 		}
 	}
+	return times
 }
 
-// RecordSuccess records the latency of a successful answer to a request of the class.
-func (b *Balancer) RecordSuccess(r *ReplicaState, class string, latency time.Duration) {
+// RecordSuccess records the latency of a successful answer to a request of the class. The reply times of a request at many services are recorded with RecordAnswer and RecordReplyTimes instead.
+func (b *Balancer) RecordSuccess(now time.Time, r *ReplicaState, class string, latency time.Duration) {
+	b.RecordAnswer(r, class, latency)
+	work := b.estimator.Work(class).Mean
+	if work == 0 {
+		work = latency
+	}
+	b.RecordLateReplyTime(now, ReplyTime{
+		Replica: r,
+		Elapsed: latency,
+	}, work)
+	b.estimator.RecordWork(now, class, time.Duration(float64(latency)/r.slowness(now)))
+}
+
+// RecordAnswer records the latency of a successful answer without comparing it with those of other replicas.
+func (b *Balancer) RecordAnswer(r *ReplicaState, class string, latency time.Duration) {
 	r.consecutiveFailures = 0
 	r.latency = updateAverage(r.latency, latency)
 	if s := b.services[r.Service]; s != nil {
@@ -300,11 +333,15 @@
 	b.latenciesOf(class).observe(latency)
 }
 
-// RecordMinLatency records that the replica has not answered within the time waited, which is only a lower bound of its latency.
-func (b *Balancer) RecordMinLatency(r *ReplicaState, waited time.Duration) {
+// RecordMinLatency records that the replica has not answered a request of the given work, 0 if unknown, within the time waited, which is only a lower bound of its latency.
+func (b *Balancer) RecordMinLatency(now time.Time, r *ReplicaState, work, waited time.Duration) {
 	if waited > r.latency {
 		r.latency = updateAverage(r.latency, waited)
 	}
+	if s := b.services[r.Service]; s != nil {
+		b.estimator.RecordSlowReply(now, &s.estimate, &r.estimate, work, waited)
+		b.noteDeviation(now, r)
+	}
 }
 
 // RecordFailure records a failed attempt and starts a backoff.
@@ -312,6 +349,8 @@
 	backoff := min(initialBackoff<<min(r.consecutiveFailures, 10), maxBackoff)
 	r.consecutiveFailures++
 	r.backoffUntil = now.Add(backoff)
+	b.estimator.RecordLoss(now, &r.estimate)
+	b.noteDeviation(now, r)
 }
 
 // HedgeDelay returns how long an attempt of the class may take before it counts as a straggler, 0 if no latency was observed.
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -47,8 +47,8 @@
 		{"prefers own zone", []string{"a", "b"}, func(*Balancer) {}, "r0", 95},
 		{"prefers lower latency", []string{"a", "b"}, func(b *Balancer) {
 			for range 20 {
-				b.RecordSuccess(b.Find("r0"), "search", 50*time.Millisecond)
-				b.RecordSuccess(b.Find("r1"), "search", 5*time.Millisecond)
+				b.RecordSuccess(start, b.Find("r0"), "search", 50*time.Millisecond)
+				b.RecordSuccess(start, b.Find("r1"), "search", 5*time.Millisecond)
 			}
 		}, "r1", 95},
 		{"avoids attempts in flight", []string{"a", "b"}, func(b *Balancer) {
@@ -57,8 +57,8 @@
 			}
 		}, "r1", 95},
 		{"avoids stalled replica", []string{"a", "b"}, func(b *Balancer) {
-			b.RecordSuccess(b.Find("r0"), "search", 2*time.Millisecond)
-			b.RecordSuccess(b.Find("r1"), "search", 2*time.Millisecond)
+			b.RecordSuccess(start, b.Find("r0"), "search", 2*time.Millisecond)
+			b.RecordSuccess(start, b.Find("r1"), "search", 2*time.Millisecond)
 			b.RecordStart(start.Add(-50*time.Millisecond), b.Find("r0"))
 		}, "r1", 95},
 		{"avoids failed replica", []string{"a", "b"}, func(b *Balancer) { b.RecordFailure(start, b.Find("r0")) }, "r1", 95},
@@ -92,7 +92,7 @@
 		t.Errorf("picked %d of 100 times while the probe is in flight", got)
 	}
 	b.RecordEnd(r, now)
-	b.RecordSuccess(r, "search", time.Millisecond)
+	b.RecordSuccess(start, r, "search", time.Millisecond)
 	if got := countPicks(b, now)["r0"]; got < 95 {
 		t.Errorf("picked %d of 100 times after it had answered", got)
 	}
--- a/internal/coordination/balancer/hedge_test.go
+++ b/internal/coordination/balancer/hedge_test.go
@@ -46,7 +46,7 @@
 		random := rand.New(rand.NewPCG(3, 4))
 		for query := range 60 {
 			for _, latency := range latencyQuery(random, 90, c.slowShare, c.pausedShare) {
-				b.RecordSuccess(r, "class", latency)
+				b.RecordSuccess(start, r, "class", latency)
 			}
 			if delay := b.HedgeDelay("class"); query >= 20 && (delay < c.min || delay > c.max) {
 				t.Errorf("%s: hedge delay %s after query %d, want %s to %s", name, delay, query, c.min, c.max)
--- /dev/null
+++ b/internal/coordination/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator estimates the work of requests and the condition of replicas: reply time = work of the request x slowness of the replica + wait. It answers a load of queries over a hundred shards whose costs differ twenty-fold, at replicas that run at different speeds, pause and reject shares of their requests, seen by instances that each send an attempt to a replica only every few seconds.
+package estimator
--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -54,6 +54,9 @@
 	case !now.Before(j.hardDeadline):
 		j.decideFailure(now, ReasonDeadline)
 	}
+	if j.decision != nil {
+		j.learnWork(now)
+	}
 }
 
 func (j *Job) decideSuccess(reason Reason) {
--- a/internal/coordination/scatterer/hedge_test.go
+++ b/internal/coordination/scatterer/hedge_test.go
@@ -12,7 +12,7 @@
 	for _, latency := range []time.Duration{10 * time.Millisecond, 30 * time.Millisecond, 45 * time.Millisecond, 50 * time.Millisecond} {
 		p := newPolicies(100, route.Shards...)
 		for range 300 {
-			p.Balancer.RecordSuccess(p.Balancer.Find(route.Shards[0]+"-a"), route.Name, latency)
+			p.Balancer.RecordSuccess(start, p.Balancer.Find(route.Shards[0]+"-a"), route.Name, latency)
 		}
 		j := newJob(route, p)
 		attempts := j.Start(start)
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/shedder"
 )
 
@@ -57,6 +58,8 @@
 	nextTickKnown bool
 	// hasGivenUp is set once nothing more is sent, because what was not sent by then would be late.
 	hasGivenUp bool
+	// work is what is known of the request's work.
+	work requestWork
 	// screening guards the replicas against a request that may crash them.
 	screening screening
 }
@@ -75,10 +78,12 @@
 	}
 	allowance := policies.CallerAllowance + policies.Overrun.AllowanceFor(r.TargetLatency)
 	j.softDeadline = earlier(request.ArrivedAt.Add(max(r.TargetLatency-allowance, r.TargetLatency/2)), j.hardDeadline)
+	j.work.expected = policies.Balancer.ExpectedWork(j.class).Mean
 	if !r.IsSharded() {
 		j.addShards(r.ServiceFor(request.ID))
 		return j
 	}
+	j.work.replies = make([]balancer.ReplyTime, 0, len(r.Shards))
 	j.addShards(r.Shards...)
 	return j
 }
@@ -396,11 +401,13 @@
 	expired := !now.Before(a.Deadline)
 	switch {
 	case outcome.Kind == OutcomeReplied && outcome.Reply.IsSuccess():
-		b.RecordSuccess(a.Replica, j.class, elapsed)
+		j.recordReplyTime(now, a, elapsed)
+	case outcome.Kind == OutcomeRejected:
+		b.RecordRejection(now, a.Replica)
 	case outcome.Cause == CausePeerFailed, outcome.Cause == CauseNotAccepting:
 	case outcome.Cause == CauseCancelled, expired && outcome.Kind != OutcomeBroken:
 		if outcome.Kind != OutcomeUnsent {
-			b.RecordMinLatency(a.Replica, elapsed)
+			b.RecordMinLatency(now, a.Replica, j.work.known, elapsed)
 		}
 	default:
 		b.RecordFailure(now, a.Replica)
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -56,7 +56,7 @@
 	if a == nil {
 		return nil
 	}
-	j.policies.Balancer.RecordMinLatency(straggler.Replica, now.Sub(straggler.StartedAt))
+	j.policies.Balancer.RecordMinLatency(now, straggler.Replica, j.work.half, now.Sub(straggler.StartedAt))
 	return []*Attempt{a}
 }
 
@@ -72,7 +72,7 @@
 
 // placeAttempt picks a replica and charges a repeat to the retry budget. It returns nil if there is no replica or the budget is exhausted; in the latter case it sets retryAt unless the soft deadline has passed.
 func (j *Job) placeAttempt(now time.Time, i int, s *shard, kind AttemptKind) *Attempt {
-	replica := j.policies.Balancer.Pick(now, s.service, func(r *balancer.ReplicaState) bool {
+	replica := j.policies.Balancer.PickFor(now, j.demand(s), func(r *balancer.ReplicaState) bool {
 		// A hedge that would queue behind this instance's own attempts gains nothing.
 		return !slices.Contains(s.triedReplicas, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
 	})
