Share the conditions of replicas in the messages of relays

An instance sends an attempt to a given replica every several seconds only, and so learns of a replica that rejects requests by its own rejections. Peers of the previous release send none, and ignore them.

Measured: the tests of balancer, estimator, scatterer and forwarder pass.

--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -195,3 +195,15 @@
 func (b *Balancer) RecordMinWork(now time.Time, class string, work time.Duration) {
 	b.estimator.RecordWork(now, class, work)
 }
+
+// Explain returns the cost of an attempt at the replica for a request of the given work.
+func (b *Balancer) Explain(now time.Time, r *ReplicaState, work time.Duration) Cost {
+	s := b.services[r.Service]
+	if s == nil {
+		return Cost{}
+	}
+	if work == 0 {
+		work = s.typicalLatency()
+	}
+	return b.costOf(now, s, r, work)
+}
--- a/internal/coordination/estimator/condition.go
+++ b/internal/coordination/estimator/condition.go
@@ -24,8 +24,10 @@
 	Lost     float64
 	// Slowness is 0 if too little is known of it.
 	Slowness float64
+	// WorkLeft is the work of the attempts in flight when the condition is told.
 	WorkLeft time.Duration
-	Age      time.Duration
+	// Age is the age of the latest ending of an attempt.
+	Age time.Duration
 }
 
 // Condition returns what this instance has observed of the replica, and whether it deviates so much from the mean that peers are to know. What peers have told is left out, so that nothing is told in circles.
@@ -68,9 +70,7 @@
 		r.sharedSlowness.add(ticks, weight, min(maxRatio, max(minRatio, c.Slowness)))
 		r.sharedSlowness.limit(maxSharedWeight)
 	}
-	if at := now.Add(-c.Age); at.After(r.workLeftAt) {
-		r.workLeft, r.workLeftAt = min(c.WorkLeft, workLeftLifetime), at
-	}
+	r.workLeft, r.workLeftAt = min(c.WorkLeft, workLeftLifetime), now
 }
 
 // WorkLeft returns what is left of the work that peers had in flight at the replica.
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -113,6 +113,7 @@
 		f.peers.relayer.RecordResponse(o.peer, o.startedAt)
 	}
 	now := time.Now()
+	f.mergeConditions(now, response.GetConditions())
 	o.owner.advance(now, o.owner.handleResults(now, o.takeResults(response)))
 }
 
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -38,10 +38,12 @@
 		merges:    msg.GetMerge(),
 		deadline:  time.Now().Add(time.Duration(msg.GetStopUs()) * time.Microsecond),
 		parts:     make(chan *wire.RelayPart, len(msg.GetItems())),
+		observer:  newRelayObserver(s.forwarder, msg),
 	}
 	relay.start(msg.GetItems())
 	err := relay.streamParts(ctx, len(msg.GetItems()), time.Duration(msg.GetFlushUs())*time.Microsecond, stream.Send)
 	relay.abandon()
+	relay.observer.finish()
 	return err
 }
 
@@ -55,6 +57,7 @@
 	deadline  time.Time
 	exchanges []*exchanger.Exchange
 	parts     chan *wire.RelayPart
+	observer  *relayObserver
 }
 
 func (r *incomingRelay) start(items []*wire.RelayItem) {
@@ -127,7 +130,8 @@
 // newResponse returns the message with the parts.
 func (r *incomingRelay) newResponse(parts []*wire.RelayPart) *wire.RelayResponse {
 	response := &wire.RelayResponse{
-		Parts: parts,
+		Parts:      parts,
+		Conditions: r.observer.takeConditions(),
 	}
 	if !r.merges {
 		return response
@@ -169,7 +173,9 @@
 func (a *incomingAttempt) run() {
 	r := a.relay
 	r.forwarder.recordSent(a.replica)
+	startedAt := r.observer.start(a.replica)
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
+	r.observer.end(a.replica, startedAt, &outcome)
 	r.forwarder.recordRelayed(a.replica, &outcome)
 	part := &wire.RelayPart{
 		Number:  a.number,
