--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -39,10 +39,12 @@
 		merged:    merger.NewAccumulator(int(msg.GetTopK())),
 		deadline:  time.Now().Add(time.Duration(msg.GetStopUs()) * time.Microsecond),
 		parts:     make(chan *wire.RelayPart, len(msg.GetItems())),
+		observer:  newRelayObserver(s.forwarder, msg),
 	}
 	relay.start(msg.GetItems())
 	err := relay.streamParts(ctx, len(msg.GetItems()), time.Duration(msg.GetFlushUs())*time.Microsecond, stream.Send)
 	relay.abandon()
+	relay.observer.finish()
 	return err
 }
 
@@ -58,6 +60,7 @@
 	deadline  time.Time
 	exchanges []*exchanger.Exchange
 	parts     chan *wire.RelayPart
+	observer  *relayObserver
 }
 
 func (r *incomingRelay) start(items []*wire.RelayItem) {
@@ -130,7 +133,8 @@
 // newResponse returns the message with the parts. It leaves out records that those of earlier messages outrank, which the sender merges with it.
 func (r *incomingRelay) newResponse(parts []*wire.RelayPart) *wire.RelayResponse {
 	response := &wire.RelayResponse{
-		Parts: parts,
+		Parts:      parts,
+		Conditions: r.observer.takeConditions(),
 	}
 	if !r.merges {
 		return response
@@ -173,7 +177,9 @@
 func (a *incomingAttempt) run() {
 	r := a.relay
 	r.forwarder.recordSent(a.replica)
+	startedAt := r.observer.start(a.replica)
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
+	r.observer.end(a.replica, startedAt, &outcome)
 	r.forwarder.recordRelayed(a.replica, &outcome)
 	part := &wire.RelayPart{
 		Number:  a.number,
