--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -31,6 +32,8 @@
 	leaseFraction         = 0.8
 	// snapshotEntries is the log length from which a snapshot is taken.
 	snapshotEntries = 5000
+	// dialTimeout limits the opening of a connection to another control instance. 300 ms, as between other instances, was too short while an instance had no processor time left; each call that finds no connection dials again, so that a longer timeout delays none.
+	dialTimeout = time.Second
 	// gaugeInterval is the interval at which the gauges are updated.
 	gaugeInterval = time.Second
 	// snapshotBytes is the size of the log in memory from which a snapshot is taken; a few large publications reach it.
@@ -43,12 +46,14 @@
 type Controller struct {
 	settings *checker.ControlSettings
 	// id is the identity in the journal. It differs from the instance name in the settings once the disk has been lost.
-	id              string
-	log             logr.Logger
-	store           *storer.Storer
-	machine         *journaler.Machine
-	state           *applier.Applier
-	events          chan event
+	id      string
+	log     logr.Logger
+	store   *storer.Storer
+	machine *journaler.Machine
+	state   *applier.Applier
+	events  chan event
+	// messages holds the journal's messages, which the event loop handles before all other events.
+	messages        chan *wire.JournalMessage
 	waiters         map[uint64]waiter
 	outboxes        map[string]*outbox
 	retiredOutboxes []*outbox
@@ -72,11 +77,17 @@
 	fatalErr     error
 	appliedIndex uint64
 	followers    *followers
-	heartbeats   *heartbeats
-	server       *listener.Server
-	client       *http.Client
-	stop         chan struct{}
-	done         chan struct{}
+	tables       *tables
+	// lastChanges is the last result of changesFrom.
+	lastChanges changes
+	admission   *admission
+	// hasLeader is a copy of whether this instance is in contact with a leader, for readers outside the event loop.
+	hasLeader  atomic.Bool
+	heartbeats *heartbeats
+	server     *listener.Server
+	client     *http.Client
+	stop       chan struct{}
+	done       chan struct{}
 }
 
 // waiter receives the result of a proposed entry once it is applied. The term tells whether the applied entry is the proposed one.
@@ -93,7 +104,6 @@
 
 // event is an input of the event loop; exactly one field is set.
 type event struct {
-	message  *wire.JournalMessage
 	proposal *proposal
 	call     func(now time.Time)
 }
@@ -118,16 +128,19 @@
 		store:     store,
 		state:     applier.New(),
 		events:    make(chan event, eventQueueSize),
+		messages:  make(chan *wire.JournalMessage, eventQueueSize),
 		waiters:   map[uint64]waiter{},
 		outboxes:  map[string]*outbox{},
 		watchers:  newWatchers(),
 		meter:     newMeter(scope),
 		followers: newFollowers(),
 		addresses: newAddresses(settings),
-		client:    listener.NewClient(),
+		client:    listener.NewClientWithDialTimeout(dialTimeout),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 	}
+	c.tables = newTables(c)
+	c.admission = newAdmission(c.meter)
 	if err := c.restore(persisted); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
@@ -238,7 +251,7 @@
 		}
 	}
 	c.appliedIndex = persisted.Snapshot.GetIndex()
-	election := time.Duration(c.settings.ElectionTimeoutMs) * time.Millisecond
+	election := c.electionTimeout()
 	timing := journaler.Timing{
 		ElectionTimeout:   election,
 		HeartbeatInterval: election / heartbeatsPerElection,
@@ -253,6 +266,10 @@
 	return nil
 }
 
+func (c *Controller) electionTimeout() time.Duration {
+	return time.Duration(c.settings.ElectionTimeoutMs) * time.Millisecond
+}
+
 func (c *Controller) run() {
 	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
@@ -275,9 +292,12 @@
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
 			c.machine.ReconcileMembers(time.Now(), c.state.Catalog.Config().GetControls())
+		case message := <-c.messages:
+			c.machine.Step(time.Now(), message)
 		case e := <-c.events:
 			c.handleBatch(e)
 		}
+		c.handleMessages()
 		if err == nil {
 			err = c.processActions()
 		}
@@ -290,10 +310,27 @@
 	}
 }
 
-// handleBatch handles the first event and the ones queued behind it, so that a single sync covers many proposals.
+// handleMessages handles the queued messages of the journal, at most as many as the queue holds.
+func (c *Controller) handleMessages() {
+	for range eventQueueSize {
+		select {
+		case message := <-c.messages:
+			c.machine.Step(time.Now(), message)
+		default:
+			return
+		}
+	}
+}
+
+// handleBatch handles the first event and the ones queued behind it, so that a single sync covers many proposals. It returns early when a message of the journal arrives, whose reply must not wait for the other events.
 func (c *Controller) handleBatch(first event) {
+	// The select statement of the caller may have chosen the event although a message was ready.
+	c.handleMessages()
 	c.handle(first)
 	for range maxExtraEvents {
+		if len(c.messages) > 0 {
+			return
+		}
 		select {
 		case e := <-c.events:
 			c.handle(e)
@@ -306,8 +343,6 @@
 func (c *Controller) handle(e event) {
 	now := time.Now()
 	switch {
-	case e.message != nil:
-		c.machine.Step(now, e.message)
 	case e.proposal != nil:
 		c.propose(now, e.proposal)
 	case e.call != nil:
@@ -388,6 +423,7 @@
 	}
 	c.addresses.setMembers(c.machine.Members())
 	c.watchers.publish(c.state.Catalog.Config())
+	c.hasLeader.Store(c.machine.InContact(time.Now()))
 	c.followers.publish(c.state.Publisher.Publication().GetVersion(), c.appliedIndex)
 }
 
@@ -472,7 +508,7 @@
 		c.retiredOutboxes = append(c.retiredOutboxes, current)
 	}
 	if !ok || current.address != address {
-		current = newOutbox(address, c.client)
+		current = newOutbox(address, c.client, c.electionTimeout(), c.meter.staleMessages)
 		c.outboxes[message.GetTo()] = current
 	}
 	current.enqueue(message)
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -8,8 +8,10 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/admitter"
 	"pimentogate.example/pimentogate/internal/state/applier"
 	"pimentogate.example/pimentogate/internal/state/journaler"
+	"pimentogate.example/pimentogate/internal/transport/packer"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -91,14 +93,20 @@
 	hold := min(time.Duration(follow.GetHoldMs())*time.Millisecond, maxHold)
 	holdTimer := time.NewTimer(hold)
 	defer holdTimer.Stop()
-	followerCount := c.followers.record(time.Now(), &wire.EntryInstance{
+	caller := &wire.EntryInstance{
 		Instance: follow.GetInstance(),
 		Zone:     follow.GetZone(),
 		Address:  follow.GetAddress(),
-	})
+	}
+	followerCount := c.followers.record(time.Now(), caller)
+	if follow.GetHeard() {
+		c.admission.recordHolder(caller)
+	} else if err := c.admitWhole(ctx, follow); err != nil {
+		return nil, err
+	}
 	for waiting := hold > 0; ; {
 		changed := c.followers.changeSignal()
-		response, err := c.changesSince(ctx, follow)
+		response, err := c.respond(ctx, follow)
 		if err != nil {
 			return nil, c.connectError(err)
 		}
@@ -128,19 +136,51 @@
 	}
 }
 
-// changesSince returns what has changed after the index of the request, or all replicas if the follower has no state yet.
-func (c *Controller) changesSince(ctx context.Context, follow *wire.FollowRequest) (*wire.FollowResponse, error) {
+// admitWhole returns an error if a call for the whole state is refused. An instance without a state has nothing large to send and refuses none.
+func (c *Controller) admitWhole(ctx context.Context, follow *wire.FollowRequest) error {
+	if !c.followers.hasState() {
+		return nil
+	}
+	return c.admission.admit(ctx, admitter.Call{
+		Instance:  follow.GetInstance(),
+		Zone:      follow.GetZone(),
+		Bytes:     c.tables.size(),
+		IsPlain:   !follow.GetAcceptsTable(),
+		HasLeader: c.hasLeader.Load(),
+	})
+}
+
+// respond returns what has changed after the index of the request, or the whole state if the follower has none yet.
+func (c *Controller) respond(ctx context.Context, follow *wire.FollowRequest) (*wire.FollowResponse, error) {
+	if follow.GetHeard() || !c.followers.hasState() {
+		return c.changesSince(ctx, follow.GetSince()+1)
+	}
+	table, err := c.tables.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.changesSince(ctx, table.GetIndex()+1)
+	if err != nil {
+		return nil, err
+	}
+	c.tables.recordChanges(table, len(response.GetReplicas())+len(response.GetSuspects()))
+	response.Whole = true
+	if follow.GetAcceptsTable() {
+		response.Table = table.data
+		return response, nil
+	}
+	response.Replicas = packer.MergeReplicas(table.GetReplicas(), response.GetReplicas())
+	response.Suspects = packer.MergeSuspects(table.GetSuspects(), response.GetSuspects())
+	return response, nil
+}
+
+// changesSince returns what has changed at the index or later.
+func (c *Controller) changesSince(ctx context.Context, fromIndex uint64) (*wire.FollowResponse, error) {
 	response := &wire.FollowResponse{}
 	err := c.runInLoop(ctx, func(now time.Time) {
-		fromIndex := follow.GetSince() + 1
-		if !follow.GetHeard() {
-			fromIndex = 0
-			response.Whole = c.appliedIndex > 0
-		}
 		response.Index = c.appliedIndex
 		response.Version = c.state.Publisher.Publication().GetVersion()
-		response.Replicas = c.state.Enroller.Replicas(fromIndex)
-		response.Suspects = c.state.Quarantiner.Suspects(fromIndex)
+		response.Replicas, response.Suspects = c.changesFrom(fromIndex)
 		response.TimeMs = time.Now().UnixMilli()
 		response.Members = c.machine.Members()
 		response.Confirmed = c.machine.InContact(now)
--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -52,6 +52,13 @@
 	f.changed = make(chan struct{})
 }
 
+// hasState reports whether this instance has applied any entry of the journal.
+func (f *followers) hasState() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.index > 0
+}
+
 // changeSignal returns a channel that is closed at the next change.
 func (f *followers) changeSignal() <-chan struct{} {
 	f.mutex.Lock()
--- a/internal/transport/controller/joiner.go
+++ b/internal/transport/controller/joiner.go
@@ -16,6 +16,8 @@
 const (
 	joinInterval = 200 * time.Millisecond
 	joinTimeout  = 500 * time.Millisecond
+	// maxRejoinInterval bounds the interval between the requests of an instance that has joined before. Without a leader every request is refused, and the requests of all instances compete with the election.
+	maxRejoinInterval = 1600 * time.Millisecond
 	// rejoinAfter is how long a member is without contact to a leader before it requests to join again. It is longer than an election.
 	rejoinAfter = time.Second
 )
@@ -51,17 +53,21 @@
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	lastContact := time.Now()
+	rejoinAt, rejoinInterval := time.Time{}, joinInterval
 	for {
 		hasJoined, inContact := j.membershipStatus()
 		if inContact {
 			lastContact = time.Now()
+			rejoinInterval = joinInterval
 		}
 		if hasJoined && j.controller.settings.Formation == nil {
 			return
 		}
 		// A member that was removed during a network partition is not told of its removal, so it requests to join again.
-		if !hasJoined || time.Since(lastContact) > rejoinAfter {
+		if now := time.Now(); !hasJoined || now.Sub(lastContact) > rejoinAfter && !now.Before(rejoinAt) {
 			j.requestJoin()
+			rejoinAt = now.Add(rejoinInterval)
+			rejoinInterval = min(2*rejoinInterval, maxRejoinInterval)
 		}
 		select {
 		case <-ticker.C:
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -28,6 +28,13 @@
 	readyReplicas tally.Gauge
 	followers     tally.Gauge
 	logLength     tally.Gauge
+	// staleMessages counts messages of the journal that were dropped unsent because of their age.
+	staleMessages tally.Counter
+	statesSent    tally.Counter
+	statesRefused tally.Counter
+	tablesBuilt   tally.Counter
+	// countedIndex is the journal index as of which readyReplicas was counted.
+	countedIndex uint64
 }
 
 func newMeter(scope tally.Scope) *meter {
@@ -46,6 +53,10 @@
 		readyReplicas: scope.Gauge("replicas_enrolled"),
 		followers:     scope.Gauge("followers"),
 		logLength:     scope.Gauge("journal_entries_held"),
+		staleMessages: scope.Counter("journal_messages_stale"),
+		statesSent:    scope.Counter("states_sent"),
+		statesRefused: scope.Counter("states_refused"),
+		tablesBuilt:   scope.Counter("state_tables_built"),
 	}
 }
 
@@ -103,6 +114,14 @@
 	m.appliedIndex.Update(float64(c.appliedIndex))
 	m.logLength.Update(float64(c.machine.LogLength()))
 	m.followers.Update(float64(c.followers.count(now)))
+	if sent, refused := c.admission.takeCounts(); refused > 0 {
+		c.log.Info("whole states refused", "refused", refused, "sent", sent, "in-contact", c.machine.InContact(now), "table-bytes", c.tables.size())
+	}
+	// Counting the replicas takes milliseconds in the event loop, so it is left out while nothing has changed.
+	if c.appliedIndex == m.countedIndex {
+		return
+	}
+	m.countedIndex = c.appliedIndex
 	ready := 0
 	for _, replica := range c.state.Enroller.Replicas(0) {
 		if replica.GetState() == wire.ReplicaState_REPLICA_STATE_READY {
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -33,10 +33,7 @@
 // Deliver queues the messages of another control instance for the event loop.
 func (s *journalService) Deliver(ctx context.Context, request *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
 	for _, message := range request.Msg.GetMessages() {
-		err := s.controller.enqueue(ctx, event{
-			message: message,
-		})
-		if err != nil {
+		if err := s.controller.enqueueMessage(ctx, message); err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
 	}
@@ -262,12 +259,15 @@
 	}
 }
 
-// runInLoop runs a function in the event loop and waits for it to return.
+// runInLoop runs a function in the event loop and waits for it to return. The function does not run if the context ends before its turn.
 func (c *Controller) runInLoop(ctx context.Context, call func(now time.Time)) error {
 	done := make(chan struct{})
+	var skipErr error
 	err := c.enqueue(ctx, event{
 		call: func(now time.Time) {
-			call(now)
+			if skipErr = ctx.Err(); skipErr == nil {
+				call(now)
+			}
 			close(done)
 		},
 	})
@@ -276,7 +276,7 @@
 	}
 	select {
 	case <-done:
-		return nil
+		return skipErr
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.done:
@@ -295,6 +295,17 @@
 	}
 }
 
+func (c *Controller) enqueueMessage(ctx context.Context, message *wire.JournalMessage) error {
+	select {
+	case c.messages <- message:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return errClosed
+	}
+}
+
 // connectError maps an error to the RPC error for the client, with the leader's address if this instance is not the leader.
 func (c *Controller) connectError(err error) error {
 	var notLeader *journaler.NotLeaderError
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -111,11 +111,14 @@
 }
 
 // NewClient returns a client for this system's own processes, with one multiplexed connection to each address.
-func NewClient() *http.Client {
+func NewClient() *http.Client { return NewClientWithDialTimeout(dialTimeout) }
+
+// NewClientWithDialTimeout returns a client as NewClient does, with another limit for the opening of a connection.
+func NewClientWithDialTimeout(timeout time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: (&net.Dialer{
-				Timeout: dialTimeout,
+				Timeout: timeout,
 			}).DialContext,
 			Protocols: protocols(false),
 			HTTP2: &http.HTTP2Config{
