Fetch the first state from one control instance at a time, or from a peer

Cause: a new entry instance called all control instances that it knew at once, and again 200 ms after each failure, so that 80 instances made up to 1,200 calls a second for the whole state of three seeds.

Version, index, records and drains never go back. Repeated polls without a quorum back off from 200 to 800 ms. A whole table replaces the old one in linear time.

--- a/internal/coordination/subscriber/subscriber.go
+++ b/internal/coordination/subscriber/subscriber.go
@@ -1,6 +1,8 @@
 package subscriber
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,8 +17,11 @@
 	// pollDelayPerInstance is added to the delay for each entry instance. It keeps the polls of one control
 	// instance below 100 a second for any number of entry instances.
 	pollDelayPerInstance = 10 * time.Millisecond
-	// retryDelay is the delay after a failed call, and between polls while there is no primary.
-	retryDelay = 200 * time.Millisecond
+	// minRetryDelay is the delay after a failed call, and between polls while there is no primary. It doubles up to
+	// maxRetryDelay: without a leader, 300 instances that poll each control instance every 200 ms take half of the
+	// processor time that the election needs.
+	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
 )
 
 // Source is a control instance to receive updates from.
@@ -34,6 +39,11 @@
 	called      bool
 	isReachable bool
 	hasQuorum   bool
+	// retries is the number of successive calls without an answer that was confirmed by a quorum.
+	retries int
+	// startCalls is how often it was called for the first state, and refusedUntil until when it refuses such calls.
+	startCalls   int
+	refusedUntil time.Time
 }
 
 // Call says when and how to call a control instance next.
@@ -50,14 +60,20 @@
 	zone           string
 	entryInstances int
 	sources        map[string]*sourceState
-	primary        *sourceState
+	// order holds the addresses of the sources in the order in which they were added.
+	order  []string
+	random *rand.Rand
+	// startCalls is the number of calls for the first state by which the next delay is chosen.
+	startCalls int
+	primary    *sourceState
 	// rosterIndex is the journal index of the current roster.
 	rosterIndex uint64
 }
 
 // New returns a subscriber for the entry instance, without control instances.
-func New(instance, zone string) *Subscriber {
+func New(instance, zone string, random *rand.Rand) *Subscriber {
 	return &Subscriber{
+		random:   random,
 		instance: instance,
 		zone:     zone,
 		sources:  map[string]*sourceState{},
@@ -74,6 +90,7 @@
 				Source: source,
 			}
 			s.sources[source.Address] = existing
+			s.order = append(s.order, source.Address)
 			added = append(added, source)
 		}
 		if source.Zone != "" {
@@ -114,6 +131,7 @@
 
 func (s *Subscriber) remove(source *sourceState) {
 	delete(s.sources, source.Address)
+	s.order = slices.DeleteFunc(s.order, func(address string) bool { return address == source.Address })
 	if s.primary == source {
 		s.primary = nil
 	}
@@ -124,6 +142,7 @@
 
 // RecordAnswer records that a control instance has answered a call and whether it was in contact with a quorum.
 func (s *Subscriber) RecordAnswer(address string, hasQuorum bool) {
+	s.startCalls = min(s.startCalls, answeredStartCalls)
 	s.recordCall(address, true, hasQuorum)
 }
 
@@ -141,6 +160,10 @@
 		return
 	}
 	source.called = true
+	source.retries++
+	if hasQuorum {
+		source.retries = 0
+	}
 	source.isReachable = isReachable
 	source.hasQuorum = hasQuorum
 	s.selectPrimary()
@@ -175,7 +198,7 @@
 }
 
 // NextCall returns the next call of a control instance: at once if it has not been called yet, a long poll if
-// it is the primary, after retryDelay if it is unreachable or there is no primary, and otherwise after the
+// it is the primary, after the retry delay if it is unreachable or there is no primary, and otherwise after the
 // poll delay.
 func (s *Subscriber) NextCall(address string) Call {
 	source := s.sources[address]
@@ -188,7 +211,7 @@
 		}
 	case !source.isReachable, s.primary == nil:
 		return Call{
-			Delay: retryDelay,
+			Delay: s.retryDelay(source),
 		}
 	default:
 		return Call{
@@ -197,6 +220,15 @@
 	}
 }
 
+// retryDelay returns the delay before the next call of a control instance that is unreachable or has no quorum.
+// Repeats are spread, since an outage begins for all entry instances at once.
+func (s *Subscriber) retryDelay(source *sourceState) time.Duration {
+	if source.retries <= 1 {
+		return minRetryDelay
+	}
+	return max(minRetryDelay, s.jitter(backoff(minRetryDelay, source.retries-1, maxRetryDelay)))
+}
+
 // Primary returns the address of the primary, or "" if there is none.
 func (s *Subscriber) Primary() string {
 	if s.primary == nil {
--- a/internal/coordination/subscriber/subscriber_test.go
+++ b/internal/coordination/subscriber/subscriber_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 )
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 func newSource(zone string) Source {
 	return Source{
 		Address: "control-" + zone,
@@ -51,7 +54,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := New("entry-1", "b")
+			s := New("entry-1", "b", newRandom())
 			s.Add(sources)
 			for _, source := range sources {
 				if slices.Contains(c.unreachable, source.Zone) {
@@ -75,7 +78,7 @@
 // failed instance becomes the primary again when it answers.
 func TestPrimaryFailureIsReported(t *testing.T) {
 	sources := newSources("a", "b")
-	s := New("entry-1", "a")
+	s := New("entry-1", "a", newRandom())
 	s.Add(sources)
 	for _, source := range sources {
 		s.RecordAnswer(source.Address, true)
@@ -103,7 +106,7 @@
 	for _, count := range []int{7, 77, 3700} {
 		pollsPerSecond := 0.0
 		for i := range count {
-			s := New(fmt.Sprintf("entry-%d", i), "nowhere")
+			s := New(fmt.Sprintf("entry-%d", i), "nowhere", newRandom())
 			s.Add(newSources("a", "b", "c"))
 			s.SetEntryInstances(count)
 			for _, zone := range []string{"a", "b", "c"} {
@@ -125,7 +128,7 @@
 // TestReplacedSourcesAreRemoved checks that control instances missing from a newer roster are removed, and
 // that an older or empty roster changes nothing.
 func TestReplacedSourcesAreRemoved(t *testing.T) {
-	s := New("entry-1", "a")
+	s := New("entry-1", "a", newRandom())
 	s.Add(newSources("a", "b", "c"))
 	change := s.ReplaceRoster(10, newSources("a", "b", "d"))
 	if len(change.Added) != 1 || change.Added[0].Zone != "d" || len(change.Removed) != 1 || change.Removed[0].Zone != "c" {
--- a/internal/transport/controller/start_test.go
+++ b/internal/transport/controller/start_test.go
@@ -148,7 +148,8 @@
 	if len(table.GetTable()) < 64<<10 || len(table.GetReplicas()) != 1 || recorder.last != "" {
 		t.Errorf("table of %d bytes with %d changes, encoded as %q; want more than 64 KB, 1 change, no encoding", len(table.GetTable()), len(table.GetReplicas()), recorder.last)
 	}
-	check(t, packer.Expand(table))
+	_, err := packer.Expand(table)
+	check(t, err)
 	plain := follow(false)
 	if recorder.last != "gzip" {
 		t.Errorf("the old form is encoded as %q, want gzip", recorder.last)
--- a/internal/transport/forwarder/control_poller.go
+++ b/internal/transport/forwarder/control_poller.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/transport/listener"
+	"pimentogate.example/pimentogate/internal/transport/packer"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -15,7 +16,9 @@
 type controlPoller struct {
 	directory *directory
 	address   string
+	// client accepts no compressed responses, since a whole state is compressed already and would be compressed again for each call. documents accepts them.
 	client    wireconnect.FleetServiceClient
+	documents wireconnect.FleetServiceClient
 	// isReached reports whether the last call succeeded, and rosterDigest is the digest in the last applied response.
 	isReached    bool
 	rosterDigest uint64
@@ -26,10 +29,12 @@
 }
 
 func newControlPoller(d *directory, address string) *controlPoller {
+	client := listener.NewClient()
 	p := &controlPoller{
 		directory: d,
 		address:   address,
-		client:    wireconnect.NewFleetServiceClient(listener.NewClient(), "http://"+address),
+		client:    wireconnect.NewFleetServiceClient(client, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)),
+		documents: wireconnect.NewFleetServiceClient(client, "http://"+address),
 		wakeup:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
 	}
@@ -45,8 +50,14 @@
 	}
 }
 
+// run polls the control instance once the first state has been received; until then the state fetcher calls it.
 func (p *controlPoller) run() {
 	defer close(p.done)
+	select {
+	case <-p.directory.initializedSignal:
+	case <-p.ctx.Done():
+		return
+	}
 	for p.ctx.Err() == nil {
 		call := p.directory.nextCall(p.address)
 		p.wait(call.Delay)
@@ -91,21 +102,32 @@
 	if longPoll {
 		holdDuration = longPollDuration
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, holdDuration+followTimeout)
+	request := d.newFollowRequest(holdDuration, p.rosterDigest)
+	timeout := holdDuration + followTimeout
+	if !request.GetHeard() {
+		timeout = stateTimeout
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	response, err := p.client.Follow(ctx, connect.NewRequest(d.newFollowRequest(holdDuration, p.rosterDigest)))
+	response, err := p.client.Follow(ctx, connect.NewRequest(request))
+	if err != nil {
+		return err
+	}
+	packed, err := packer.Expand(response.Msg)
 	if err != nil {
 		return err
 	}
 	d.recordAnswer(p.address, response.Msg.GetConfirmed())
-	return p.apply(response.Msg)
+	return p.apply(response.Msg, packed)
 }
 
-// apply applies a response, after fetching a newer configuration if there is one. Until the directory is initialized, an unconfirmed response is ignored unless acceptUnconfirmed allows it.
-func (p *controlPoller) apply(response *wire.FollowResponse) error {
+// apply applies a response, after fetching a newer configuration if there is one. Until the directory is initialized, an unconfirmed state is held without being served with, unless acceptUnconfirmed allows it: the next response then needs to contain the changes only.
+func (p *controlPoller) apply(response *wire.FollowResponse, packed *packer.Packed) error {
 	d := p.directory
+	defer d.keepPacked(packed)
 	if !d.isInitialized() && !response.GetConfirmed() && !d.acceptUnconfirmed(p.address) {
-		p.wait(unconfirmedRetryDelay)
+		p.rosterDigest = response.GetRoster()
+		d.apply(response)
 		return nil
 	}
 	if response.GetVersion() > d.currentVersion() {
@@ -115,19 +137,23 @@
 	}
 	p.rosterDigest = response.GetRoster()
 	d.apply(response)
+	d.markInitialized(stateFromControl, p.address)
 	return nil
 }
 
 // fetchConfig fetches the control instance's configuration and makes it the current one unless one that is at least as new has been received meanwhile.
 func (p *controlPoller) fetchConfig() error {
-	d := p.directory
 	ctx, cancel := context.WithTimeout(p.ctx, documentTimeout)
 	defer cancel()
-	response, err := p.client.Document(ctx, connect.NewRequest(&wire.DocumentRequest{}))
+	response, err := p.documents.Document(ctx, connect.NewRequest(&wire.DocumentRequest{}))
 	if err != nil {
 		return err
 	}
-	publication := response.Msg.GetPublication()
+	return p.directory.installConfig(response.Msg.GetPublication(), p.address)
+}
+
+// installConfig makes the publication of a control instance or a peer the current configuration, unless the current one is at least as new.
+func (d *directory) installConfig(publication *wire.Publication, from string) error {
 	table, err := d.forwarder.protocol.DecodeDocument(publication.GetDocument())
 	if err != nil {
 		return err
@@ -139,9 +165,10 @@
 	}
 	previous := d.configVersion
 	d.configVersion = publication.GetVersion()
+	d.publication = publication
 	d.configReceivedAt = time.Now()
 	d.forwarder.routingTable.Store(table)
 	d.forwarder.preconnector.noteChange()
-	d.forwarder.log.Info("configuration in force", "version", d.configVersion, "before", previous, "routes", len(table.Routes), "from", p.address)
+	d.forwarder.log.Info("configuration in force", "version", d.configVersion, "before", previous, "routes", len(table.Routes), "from", from)
 	return nil
 }
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -1,7 +1,7 @@
 package forwarder
 
 import (
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +11,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/subscriber"
 	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/transport/packer"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -19,17 +20,25 @@
 	longPollDuration = 500 * time.Millisecond
 	// followTimeout is the time for a response beyond the hold of a long poll. It ends calls on connections that no longer deliver anything.
 	followTimeout = 400 * time.Millisecond
-	// unconfirmedRetryDelay is the delay after an unconfirmed response was ignored. An unconfirmed response comes from a control instance that is not in contact with a quorum.
-	unconfirmedRetryDelay = 200 * time.Millisecond
 	// documentTimeout limits the fetch of a configuration.
 	documentTimeout = 1500 * time.Millisecond
 	// unconfirmedDelay is how long a new instance waits for a confirmed response before it accepts unconfirmed ones if at least two control instances sent one. An update that one of them has missed has usually reached the other.
 	unconfirmedDelay = 300 * time.Millisecond
 	// singleUnconfirmedDelay is the same delay if only one control instance has responded, which may be partitioned.
 	singleUnconfirmedDelay = 1500 * time.Millisecond
+	// maxKeptSuspects bounds the suspect requests that are kept for peers; control keeps at most half as many.
+	maxKeptSuspects = 1024
 )
 
-// directory keeps the replica table and the routing configuration up to date. Each control instance has a poller: the primary is long-polled for updates, the others are polled at intervals.
+// stateSource is where the first state of an instance came from.
+type stateSource string
+
+const (
+	stateFromControl stateSource = "control"
+	stateFromPeer    stateSource = "peer"
+)
+
+// directory keeps the replica table and the routing configuration up to date. A fetcher gets the first state. After that each control instance has a poller: the primary is long-polled for updates, the others are polled at intervals.
 type directory struct {
 	forwarder *Forwarder
 	startedAt time.Time
@@ -38,13 +47,31 @@
 	instanceCount  *limiter.InstanceCount
 	// atomicIndex is a copy of index for readers that don't hold the mutex.
 	atomicIndex atomic.Uint64
+	fetcher     *stateFetcher
+	// initializedSignal is closed when the instance has its first state and the pollers may start.
+	initializedSignal chan struct{}
+	// stateCalls limits the calls of peers for the state.
+	stateCalls callLimit
 
 	mutex      sync.Mutex
 	subscriber *subscriber.Subscriber
-	// initialized is set once a complete replica table was received; index is the journal index of the table.
+	// hasTable is set once a complete replica table was received; index is the journal index of the table. initialized is set once the instance may also serve with it.
+	hasTable      bool
 	initialized   bool
 	index         uint64
 	configVersion uint64
+	// publication is the configuration as received, and packed an encoded form of the replica table at an index that is not above the current one. Both are kept for peers, as are the fields up to confirmedAt.
+	publication *wire.Publication
+	packed      *packer.Packed
+	suspects    map[uint64]*wire.SuspectRequest
+	members     []*wire.ControlMember
+	entries     []*wire.EntryInstance
+	drains      *wire.ZoneDrains
+	// controlTimeMs is the time of the journal's clock in the last response, which was received at controlTimeAt.
+	controlTimeMs int64
+	controlTimeAt time.Time
+	// confirmedAt is when a control instance in contact with a quorum last confirmed the state; zero if none has.
+	confirmedAt time.Time
 	// configReceivedAt is when the configuration was received, and lastAppliedAt is when a response was last applied, even one without changes.
 	configReceivedAt time.Time
 	lastAppliedAt    time.Time
@@ -58,12 +85,16 @@
 func newDirectory(f *Forwarder) *directory {
 	d := &directory{
 		forwarder:   f,
-		subscriber:  subscriber.New(f.settings.Instance, f.settings.Zone),
+		subscriber:  subscriber.New(f.settings.Instance, f.settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		startedAt:   time.Now(),
 		replicas:    map[string]*wire.Replica{},
 		pollers:     map[string]*controlPoller{},
 		unconfirmed: map[string]bool{},
+		suspects:    map[uint64]*wire.SuspectRequest{},
+
+		initializedSignal: make(chan struct{}),
 	}
+	d.fetcher = newStateFetcher(d)
 	d.instanceCount = limiter.NewInstanceCount(assumedRetryingInstances)
 	d.entryInstances.Store(assumedConnectingInstances)
 	return d
@@ -72,6 +103,7 @@
 func (d *directory) start() {
 	settings := d.forwarder.currentSettings()
 	d.addControlInstances(checker.ReplacePort(settings.ControlSeeds, settings.ControlPeers))
+	go d.fetcher.run()
 }
 
 func (d *directory) isInitialized() bool {
@@ -182,8 +214,12 @@
 		pollers = append(pollers, poller)
 	}
 	d.mutex.Unlock()
+	d.fetcher.cancel()
 	for _, poller := range pollers {
 		poller.cancel()
+	}
+	<-d.fetcher.done
+	for _, poller := range pollers {
 		<-poller.done
 	}
 }
@@ -199,9 +235,11 @@
 		Since:    d.index,
 		Version:  d.configVersion,
 		HoldMs:   uint32(holdDuration.Milliseconds()),
-		Heard:    d.initialized,
+		Heard:    d.hasTable,
 		Address:  settings.ListenPeers,
 		Roster:   rosterDigest,
+
+		AcceptsTable: true,
 	}
 }
 
@@ -220,6 +258,7 @@
 	return d.configVersion
 }
 
+// apply applies a response. An instance that is not initialized holds the state without serving with it until markInitialized is called.
 func (d *directory) apply(response *wire.FollowResponse) {
 	d.applyRoster(response)
 	count := d.instanceCount.Update(time.Now(), int(response.GetFollowers()))
@@ -229,6 +268,31 @@
 	d.forwarder.setEntryInstances(count)
 	d.forwarder.updateSuspects(response)
 	d.applyReplicas(response)
+	if response.GetConfirmed() {
+		d.recordConfirmation(time.Now())
+	}
+}
+
+// recordConfirmation records that a control instance in contact with a quorum confirmed the state at a time.
+func (d *directory) recordConfirmation(at time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if at.After(d.confirmedAt) {
+		d.confirmedAt = at
+	}
+}
+
+// markInitialized allows the instance to serve with the state that it holds, which a control instance or a peer has sent.
+func (d *directory) markInitialized(source stateSource, from string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.initialized || !d.hasTable {
+		return
+	}
+	d.initialized = true
+	d.forwarder.meter.recordState(source)
+	d.forwarder.log.Info("state received", "source", source, "from", from, "index", d.index, "version", d.configVersion,
+		"replicas", len(d.replicas), "confirmed", !d.confirmedAt.IsZero(), "after-ms", time.Since(d.startedAt).Milliseconds())
 }
 
 // applyRoster applies the lists of control and entry instances. The roster of an unconfirmed response only adds control instances, because a partitioned one may list instances that were replaced since.
@@ -245,6 +309,12 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if len(response.GetMembers()) > 0 {
+		d.members = response.GetMembers()
+	}
+	if len(response.GetEntries()) > 0 {
+		d.entries = response.GetEntries()
+	}
 	d.subscriber.SetEntryInstances(int(d.entryInstances.Load()))
 	if !response.GetConfirmed() {
 		d.startPollers(d.subscriber.Add(roster))
@@ -264,12 +334,17 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.lastAppliedAt = time.Now()
-	if response.GetIndex() <= d.index && d.initialized {
+	if response.GetDrains().GetRevision() > d.drains.GetRevision() {
+		d.drains = response.GetDrains()
+	}
+	if response.GetIndex() <= d.index && d.hasTable {
 		return
 	}
 	if response.GetWhole() {
 		d.removeMissing(response.GetReplicas())
+		clear(d.suspects)
 	}
+	d.keepSuspects(response)
 	for _, record := range response.GetReplicas() {
 		if current := d.replicas[record.GetId()]; current == nil || current.GetIndex() < record.GetIndex() {
 			d.applyReplica(record)
@@ -277,13 +352,43 @@
 	}
 	d.index = response.GetIndex()
 	d.atomicIndex.Store(d.index)
-	d.initialized = d.initialized || response.GetWhole()
+	d.hasTable = d.hasTable || response.GetWhole()
+}
+
+// keepSuspects keeps the suspect requests of a response for peers; the mutex must be held.
+func (d *directory) keepSuspects(response *wire.FollowResponse) {
+	if response.GetTimeMs() > 0 {
+		d.controlTimeMs = response.GetTimeMs()
+		d.controlTimeAt = time.Now()
+	}
+	for _, suspect := range response.GetSuspects() {
+		d.suspects[suspect.GetFingerprint()] = suspect
+	}
+	for len(d.suspects) > maxKeptSuspects {
+		oldest := suspectWithLowestIndex(d.suspects)
+		delete(d.suspects, oldest)
+	}
+}
+
+// suspectWithLowestIndex returns the fingerprint of the record that was changed first.
+func suspectWithLowestIndex(suspects map[uint64]*wire.SuspectRequest) uint64 {
+	var lowest *wire.SuspectRequest
+	for _, suspect := range suspects {
+		if lowest == nil || suspect.GetIndex() < lowest.GetIndex() {
+			lowest = suspect
+		}
+	}
+	return lowest.GetFingerprint()
 }
 
 // removeMissing removes the replicas that are missing from a complete table.
 func (d *directory) removeMissing(table []*wire.Replica) {
+	listed := make(map[string]bool, len(table))
+	for _, replica := range table {
+		listed[replica.GetId()] = true
+	}
 	for id := range d.replicas {
-		if !slices.ContainsFunc(table, func(r *wire.Replica) bool { return r.GetId() == id }) {
+		if !listed[id] {
 			delete(d.replicas, id)
 			d.forwarder.removeReplica(id)
 		}
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -40,7 +40,11 @@
 	requests map[requestKey]*requestMeter
 	attempts map[attemptKey]tally.Counter
 
-	diversions           map[scatterer.DecisionKind]tally.Counter
+	diversions map[scatterer.DecisionKind]tally.Counter
+	// states counts the first states by their source, and stateRefusals the refusals before; statesSent counts those sent to peers.
+	states               map[stateSource]tally.Counter
+	stateRefusals        tally.Counter
+	statesSent           tally.Counter
 	connectionsOpened    tally.Counter
 	requestLinesLost     tally.Counter
 	recordsLost          tally.Counter
@@ -76,6 +80,9 @@
 		requests:             map[requestKey]*requestMeter{},
 		attempts:             map[attemptKey]tally.Counter{},
 		diversions:           map[scatterer.DecisionKind]tally.Counter{},
+		states:               stateCounters(s),
+		stateRefusals:        s.Counter("state_refusals"),
+		statesSent:           s.Counter("peer_states_sent"),
 		connectionsOpened:    s.Counter("connections_opened"),
 		requestLinesLost:     s.Counter("request_lines_lost"),
 		recordsLost:          s.Counter("outcome_records_lost"),
@@ -101,6 +108,19 @@
 	}
 }
 
+// stateCounters returns the counters of received states by source.
+func stateCounters(scope tally.Scope) map[stateSource]tally.Counter {
+	counters := map[stateSource]tally.Counter{}
+	for _, source := range []stateSource{stateFromControl, stateFromPeer} {
+		counters[source] = scope.Tagged(map[string]string{
+			"source": string(source),
+		}).Counter("states_received")
+	}
+	return counters
+}
+
+func (m *meter) recordState(source stateSource) { m.states[source].Inc(1) }
+
 func (m *meter) recordConnection() { m.connectionsOpened.Inc(1) }
 
 func (m *meter) recordRequest(route string, d *scatterer.Decision, latency time.Duration) {
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -73,6 +73,12 @@
 
 // newTestForwarder starts an entry instance whose control instance is unreachable.
 func newTestForwarder(t testing.TB, name, zone string) *Forwarder {
+	t.Helper()
+	return newFollowingForwarder(t, name, zone, "127.0.0.1:1")
+}
+
+// newFollowingForwarder starts an entry instance that follows the control instance at the address.
+func newFollowingForwarder(t testing.TB, name, zone, control string) *Forwarder {
 	t.Helper()
 	f, err := New(&checker.ForwarderSettings{
 		Instance:        name,
@@ -81,14 +87,17 @@
 		ListenReadiness: "127.0.0.1:0",
 		ListenMetrics:   "127.0.0.1:0",
 		ListenPeers:     "127.0.0.1:0",
-		ControlSeeds:    []string{"127.0.0.1:1"},
-		ControlPeers:    "127.0.0.1:1",
+		ControlSeeds:    []string{control},
+		ControlPeers:    control,
 		RepeatBurst:     1000,
 		RepeatWindowMs:  10_000,
 		DrainMs:         10,
 		GraceMs:         1000,
 	}, logr.Discard(), Protocol{
-		Codec:            testCodec{},
+		Codec: testCodec{},
+		DecodeDocument: func([]byte) (*matcher.RoutingTable, error) {
+			return &matcher.RoutingTable{}, nil
+		},
 		CallerHandler:    notFoundHandler,
 		ReadinessHandler: notFoundHandler,
 	}, nil)
--- a/internal/transport/packer/packer.go
+++ b/internal/transport/packer/packer.go
@@ -63,20 +63,30 @@
 	return table, proto.Unmarshal(encoded, table)
 }
 
-// Expand replaces the encoded table of a response, if there is one, by all replicas and suspect requests as of the response's index.
-func Expand(response *wire.FollowResponse) error {
+// Packed is an encoded table with its journal index.
+type Packed struct {
+	Index uint64
+	Data  []byte
+}
+
+// Expand replaces the encoded table of a response by all replicas and suspect requests as of the response's index, and returns the table, or nil if there is none.
+func Expand(response *wire.FollowResponse) (*Packed, error) {
 	if len(response.GetTable()) == 0 {
-		return nil
+		return nil, nil
 	}
 	table, err := Unpack(response.GetTable())
 	if err != nil {
-		return err
+		return nil, err
+	}
+	packed := &Packed{
+		Index: table.GetIndex(),
+		Data:  response.GetTable(),
 	}
 	response.Replicas = MergeReplicas(table.GetReplicas(), response.GetReplicas())
 	response.Suspects = MergeSuspects(table.GetSuspects(), response.GetSuspects())
 	response.Whole = true
 	response.Table = nil
-	return nil
+	return packed, nil
 }
 
 // MergeReplicas returns the records of a table, with the changed ones in place of earlier ones of the same replicas.
