--- a/internal/coordination/subscriber/start.go
+++ b/internal/coordination/subscriber/start.go
@@ -14,6 +14,9 @@
 	// answeredStartCalls bounds the number of calls by which the delay is chosen after an answer that doesn't
 	// suffice, such as an unconfirmed one, so that the next call follows within 400 ms.
 	answeredStartCalls = 4
+	// unreachableStartCalls is how many further calls a control instance that has not answered its last call counts
+	// as having received.
+	unreachableStartCalls = 2
 )
 
 // StartCall says which control instance an instance without a state asks for it next, and when.
@@ -24,7 +27,7 @@
 
 // NextStartCall returns the next call of an instance without a state. It calls one control instance at a time:
 // one that was called least often, chosen at random, so that the calls of many instances spread over all that
-// are known. An instance that has refused a call is not called before the time that it has given, but another
+// are known. One that has not answered its last call counts as called more often. An instance that has refused a call is not called before the time that it has given, but another
 // one may be. It returns false if no control instance is known.
 func (s *Subscriber) NextStartCall(now time.Time) (StartCall, bool) {
 	delay := s.startDelay()
@@ -96,10 +99,17 @@
 	case bRefuses:
 		return -1
 	default:
-		return a.startCalls - b.startCalls
+		return a.startRank() - b.startRank()
 	}
 }
 
+func (s *sourceState) startRank() int {
+	if s.called && !s.isReachable {
+		return s.startCalls + unreachableStartCalls
+	}
+	return s.startCalls
+}
+
 // jitter returns a random duration between half of the given one and the whole.
 func (s *Subscriber) jitter(duration time.Duration) time.Duration {
 	return duration - time.Duration(s.random.Int64N(int64(duration)/2+1))
--- a/internal/transport/forwarder/control_poller.go
+++ b/internal/transport/forwarder/control_poller.go
@@ -103,11 +103,11 @@
 		holdDuration = longPollDuration
 	}
 	request := d.newFollowRequest(holdDuration, p.rosterDigest)
-	timeout := holdDuration + followTimeout
+	ctx, cancel := context.WithTimeout(p.ctx, holdDuration+followTimeout)
 	if !request.GetHeard() {
-		timeout = stateTimeout
+		cancel()
+		ctx, cancel = withAnswerTimeout(p.ctx, d.fetcher.answerTimeout)
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
 	response, err := p.client.Follow(ctx, connect.NewRequest(request))
 	if err != nil {
--- a/internal/transport/forwarder/state_fetcher.go
+++ b/internal/transport/forwarder/state_fetcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,10 +15,13 @@
 )
 
 const (
-	// stateTimeout limits a call for the whole state, which takes longer than one for changes: 100 KB take 60 ms on a link of 14 Mbit/s that is otherwise idle.
-	stateTimeout = 800 * time.Millisecond
-	// peerStateTimeout is the same limit for a call of a peer.
-	peerStateTimeout = 500 * time.Millisecond
+	// stateTimeout limits a call for the whole state with its transfer: the 1.5 MB of 23,000 replicas take 0.9 s on a link of 14 Mbit/s that is otherwise idle.
+	stateTimeout = 3 * time.Second
+	// answerTimeout limits the time until a response begins, since a control instance that has lost its machine or its link must not delay a third of its callers. It doubles with each call in a row that ends so, up to maxAnswerTimeout, for control instances of the previous release, which answer late under load.
+	answerTimeout    = 300 * time.Millisecond
+	maxAnswerTimeout = 1200 * time.Millisecond
+	// peerAnswerTimeout is the same limit for a peer, after which another is asked.
+	peerAnswerTimeout = 200 * time.Millisecond
 	// maxPeerStateCalls is how many of the peers that a refusal names are asked.
 	maxPeerStateCalls = 2
 	// maxConfirmedAge is the age up to which the confirmation of a peer's state is taken for one of this instance. It is below the time within which a change must be in force everywhere (4 s), less that of the first poll of control.
@@ -29,15 +33,18 @@
 // stateFetcher fetches the first state of a new instance. It calls one control instance at a time, or a peer that a refusal names, until the instance holds a state that it may serve with. The pollers start after that.
 type stateFetcher struct {
 	directory *directory
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// answerTimeout is the current limit of the time until a response of a control instance begins.
+	answerTimeout time.Duration
+	ctx           context.Context
+	cancel        context.CancelFunc
+	done          chan struct{}
 }
 
 func newStateFetcher(d *directory) *stateFetcher {
 	s := &stateFetcher{
-		directory: d,
-		done:      make(chan struct{}),
+		directory:     d,
+		answerTimeout: answerTimeout,
+		done:          make(chan struct{}),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -69,8 +76,12 @@
 	refusal := listener.ErrorDetail[*wire.FollowRefusal](err)
 	if refusal == nil {
 		poller.recordResult(err)
+		if err != nil {
+			s.answerTimeout = min(2*s.answerTimeout, maxAnswerTimeout)
+		}
 		return
 	}
+	s.answerTimeout = answerTimeout
 	d.forwarder.meter.stateRefusals.Inc(1)
 	d.recordRefusal(address, time.Duration(refusal.GetRetryAfterMs())*time.Millisecond)
 	s.askPeers(refusal.GetPeers())
@@ -103,7 +114,7 @@
 // askPeer asks a peer for its state and applies it.
 func (s *stateFetcher) askPeer(peer *wire.EntryInstance) error {
 	d := s.directory
-	ctx, cancel := context.WithTimeout(s.ctx, peerStateTimeout)
+	ctx, cancel := withAnswerTimeout(s.ctx, peerAnswerTimeout)
 	defer cancel()
 	// The table is compressed already.
 	client := wireconnect.NewRelayServiceClient(d.forwarder.peers.client, "http://"+peer.GetAddress(), connect.WithAcceptCompression("gzip", nil, nil))
@@ -118,6 +129,19 @@
 	return d.receiveFromPeer(peer.GetInstance(), response.Msg, packed)
 }
 
+// withAnswerTimeout returns a context for a call for the state, which ends if the response has not begun within the timeout.
+func withAnswerTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	timer := time.AfterFunc(timeout, cancel)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { timer.Stop() },
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // nextStartCall returns the control instance to ask next for the first state and the delay before that, without an address if none is known.
 func (d *directory) nextStartCall(now time.Time) (string, time.Duration) {
 	d.mutex.Lock()
