Keep repeats for requests that need them and refuse hopeless ones

A request that is costly everywhere was hedged at all shards that were late by the usual latency, and repeats went to queries that had their minimum share of shards or could not reach it. A straggler is now late in relation to the shards that have answered the same request, unless nine tenths have; a hedge must be expected in time and find a free slot, counting relayed attempts. A retry budget of which less than a third is left is kept for queries that need it and can still get an answer. A request is refused before any attempt if, by recent attempts at all replicas of the shards in question, too few can answer by three standard deviations; its Retry-After is when what is known has aged so far that it would be sent.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -63,8 +63,10 @@
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
 func (r *ReplicaState) Latency() time.Duration { return r.latency }
 
-// HasFreeSlot reports whether this instance's attempts leave a slot of the replica free; without a number of slots there is no limit.
-func (r *ReplicaState) HasFreeSlot() bool { return r.Slots == 0 || r.InFlight() < r.Slots }
+// HasFreeSlot reports whether this instance's attempts, including those that it relays, leave a slot of the replica free; without a number of slots there is no limit.
+func (r *ReplicaState) HasFreeSlot() bool {
+	return r.Slots == 0 || r.InFlight()+len(r.relayedTimes) < r.Slots
+}
 
 // InFlight returns how many attempts are in flight.
 func (r *ReplicaState) InFlight() int { return len(r.startTimes) }
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -11,7 +11,7 @@
 	// repeatTime is the time that a repeat adds beyond the work that is done again.
 	repeatTime = 2 * time.Millisecond
 	// scarcityPrice is the price of a repeat while all of the retry budget is used. Retries and hedges may be 0.2 of the requests, so that a tenth of failed attempts leaves room for the hedges of others.
-	scarcityPrice = 60 * time.Millisecond
+	scarcityPrice = 150 * time.Millisecond
 	scarceShare   = 0.1
 	// lossTime is the time that passes until a lost attempt is noticed.
 	lossTime = 50 * time.Millisecond
--- a/internal/coordination/limiter/window.go
+++ b/internal/coordination/limiter/window.go
@@ -41,14 +41,25 @@
 
 // TryRepeat counts one repeat if the window allows it, and reports whether it does.
 func (w *Window) TryRepeat(now time.Time) bool {
-	w.advance(now)
-	if float64(sumBuckets(w.repeats)+1) > w.maxRepeats() {
+	if !w.CanRepeat(now) {
 		return false
 	}
 	w.repeats[w.bucket%bucketCount]++
 	return true
 }
 
+// CanRepeat reports whether the window allows one more repeat.
+func (w *Window) CanRepeat(now time.Time) bool {
+	w.advance(now)
+	return float64(sumBuckets(w.repeats)+1) <= w.maxRepeats()
+}
+
+// MayRepeatAt reports whether the window may allow a repeat at a later time, without a change to it.
+func (w *Window) MayRepeatAt(now time.Time) bool {
+	later := *w
+	return later.CanRepeat(now)
+}
+
 // RemainingShare returns the unused share of the allowed repeats. It is negative if the window holds more
 // repeats than are allowed now.
 func (w *Window) RemainingShare(now time.Time) float64 {
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -174,6 +174,14 @@
 		})
 		return nil
 	}
+	if wait := j.rejectionDelay(now); wait > 0 {
+		j.setDecision(Decision{
+			Kind:       Refused,
+			Reason:     ReasonRejecting,
+			RetryAfter: wait,
+		})
+		return nil
+	}
 	j.noteChange()
 	attempts := make([]*Attempt, 0, len(j.shards))
 	for _, i := range j.sendOrder() {
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -48,7 +48,7 @@
 func (j *Job) hedgeShard(now time.Time, i int, s *shard) []*Attempt {
 	straggler := s.pending[0]
 	straggler.hedgeAt = now.Add(recheckInterval)
-	if !j.canHedge(s) || j.isCongested(now, s) || !j.hasStragglers() {
+	if !j.canHedge(s) || j.isCongested(now, s) || !j.hasStragglers() || !j.isStraggler(now, straggler) {
 		return nil
 	}
 	a := j.placeAttempt(now, i, s, AttemptHedge)
@@ -76,12 +76,12 @@
 		// A hedge that would queue behind this instance's own attempts gains nothing.
 		return !slices.Contains(s.triedReplicas, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
 	})
-	if replica == nil {
+	if replica == nil || kind == AttemptHedge && !j.repliesInTime(now, replica) {
 		return nil
 	}
 	budget := j.policies.RetryBudget(s.service)
 	isRepeat := s.reachedReplica || len(s.pending) > 0
-	if isRepeat && !budget.TryRepeat(now) {
+	if isRepeat && (!j.deservesRepeat(now, budget) || !budget.TryRepeat(now)) {
 		// After the soft deadline the answer is late anyway, so the job does not wait for the budget.
 		if now.Before(j.softDeadline) {
 			s.retryAt = now.Add(recheckInterval)
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -147,6 +147,7 @@
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonLimited       Reason = "replicas-limited"
 	ReasonRejected      Reason = "rejected-by-replicas"
+	ReasonRejecting     Reason = "replicas-rejecting"
 	ReasonReplicaFailed Reason = "replica-broke-off"
 	ReasonDeadline      Reason = "deadline"
 	ReasonCutAtTarget   Reason = "cut-at-target"
