List entry instances soon after control instances have started

A control instance listed no entry instances in its first 5 s. The list is now sent once no new instance has called for half a second. It may lack some, so connection shares are not computed from it, and it replaces no complete one.

Instances no longer check their contact with peers while no organisation is named.

--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -111,8 +111,8 @@
 			return nil, c.connectError(err)
 		}
 		response.Followers = uint32(followerCount)
-		if hold > 0 && followerCount > 0 {
-			response.Entries = c.followers.entries()
+		if hold > 0 {
+			response.Entries = c.followers.entries(time.Now())
 		}
 		response.Roster = rosterDigest(response.GetMembers(), response.GetEntries())
 		if response.GetRoster() == follow.GetRoster() {
--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -14,6 +14,12 @@
 // followerTTL is how long an entry instance counts as a follower after its last call. It covers several calls.
 const followerTTL = 5 * time.Second
 
+const (
+	// settleAge is how long this instance records followers before it lists those that it has heard of, and settleDelay how long no new one must have called. All that start together have called by then.
+	settleAge   = time.Second
+	settleDelay = 500 * time.Millisecond
+)
+
 // follower is an entry instance and the time of its last call.
 type follower struct {
 	entry    *wire.EntryInstance
@@ -27,8 +33,9 @@
 	index      uint64
 	changed    chan struct{}
 	byInstance map[string]follower
-	// startTime is when this instance began to record followers.
+	// startTime is when this instance began to record followers, and addedAt when the last new one called.
 	startTime time.Time
+	addedAt   time.Time
 }
 
 func newFollowers() *followers {
@@ -83,6 +90,9 @@
 func (f *followers) record(now time.Time, entry *wire.EntryInstance) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if _, ok := f.byInstance[entry.GetInstance()]; !ok {
+		f.addedAt = now
+	}
 	f.byInstance[entry.GetInstance()] = follower{
 		entry:    entry,
 		lastSeen: now,
@@ -98,10 +108,13 @@
 	return len(f.byInstance)
 }
 
-// entries returns the recorded entry instances, sorted by name.
-func (f *followers) entries() []*wire.EntryInstance {
+// entries returns the recorded entry instances, sorted by name, or nil while most of those that have started with this instance may still be missing.
+func (f *followers) entries(now time.Time) []*wire.EntryInstance {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if now.Sub(f.startTime) < followerTTL && (now.Sub(f.startTime) < settleAge || now.Sub(f.addedAt) < settleDelay) {
+		return nil
+	}
 	var list []*wire.EntryInstance
 	for _, name := range slices.Sorted(maps.Keys(f.byInstance)) {
 		list = append(list, f.byInstance[name].entry)
--- a/internal/transport/forwarder/allotments.go
+++ b/internal/transport/forwarder/allotments.go
@@ -120,7 +120,11 @@
 	<-a.done
 }
 
+// tick does nothing while no organisation has an allotment.
 func (a *allotments) tick() {
+	if !a.hasLimits() {
+		return
+	}
 	inContact := a.contact.check(a.ctx)
 	now := time.Now()
 	a.mutex.Lock()
@@ -131,6 +135,12 @@
 	a.sendReports(reports)
 }
 
+// hasLimits reports whether the configuration in force names organisations.
+func (a *allotments) hasLimits() bool {
+	table := a.forwarder.routingTable.Load()
+	return table != nil && table.Keyring != nil
+}
+
 // update applies the list of entry instances.
 func (a *allotments) update(entries []*wire.EntryInstance) {
 	members := make([]allotter.Member, 0, len(entries))
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -66,7 +66,9 @@
 	suspects    map[uint64]*wire.SuspectRequest
 	members     []*wire.ControlMember
 	entries     []*wire.EntryInstance
-	drains      *wire.ZoneDrains
+	// hasCompleteEntries is set once a control instance that knows all entry instances has listed them.
+	hasCompleteEntries bool
+	drains             *wire.ZoneDrains
 	// controlTimeMs is the time of the journal's clock in the last response, which was received at controlTimeAt.
 	controlTimeMs int64
 	controlTimeAt time.Time
@@ -298,10 +300,23 @@
 		"replicas", len(d.replicas), "confirmed", !d.confirmedAt.IsZero(), "after-ms", time.Since(d.startedAt).Milliseconds())
 }
 
+// acceptEntries reports whether the response's list of entry instances replaces the known one, and keeps it if so. The list of a control instance that has just started does not replace a complete one.
+func (d *directory) acceptEntries(response *wire.FollowResponse) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	isComplete := response.GetFollowers() > 0
+	if len(response.GetEntries()) == 0 || d.hasCompleteEntries && !isComplete {
+		return false
+	}
+	d.entries = response.GetEntries()
+	d.hasCompleteEntries = isComplete
+	return true
+}
+
 // applyRoster applies the lists of control and entry instances. The roster of an unconfirmed response only adds control instances, because a partitioned one may list instances that were replaced since.
 func (d *directory) applyRoster(response *wire.FollowResponse) {
-	if len(response.GetEntries()) > 0 {
-		d.forwarder.peers.update(response.GetEntries())
+	if d.acceptEntries(response) {
+		d.forwarder.peers.update(response.GetEntries(), response.GetFollowers() > 0)
 	}
 	var roster []subscriber.Source
 	for _, member := range response.GetMembers() {
@@ -315,9 +330,6 @@
 	if len(response.GetMembers()) > 0 {
 		d.members = response.GetMembers()
 	}
-	if len(response.GetEntries()) > 0 {
-		d.entries = response.GetEntries()
-	}
 	d.subscriber.SetEntryInstances(int(d.entryInstances.Load()))
 	if !response.GetConfirmed() {
 		d.startPollers(d.subscriber.Add(roster))
--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -178,7 +178,7 @@
 			t.Fatal(err)
 		}
 		f.routingTable.Store(table)
-		f.peers.update(entries)
+		f.peers.update(entries, true)
 	}
 	sf.addReplicas(t, "a")
 	return sf
--- a/internal/transport/forwarder/fleet_test.go
+++ b/internal/transport/forwarder/fleet_test.go
@@ -101,7 +101,7 @@
 // enroll tells an instance of the routes, the others and the replicas.
 func (ff *fleetFixture) enroll(f *Forwarder, address string) {
 	f.routingTable.Store(ff.table)
-	f.peers.update(ff.entries)
+	f.peers.update(ff.entries, true)
 	f.directory.entryInstances.Store(300)
 	for i := range fleetShards {
 		for _, zone := range []string{"a", "b"} {
@@ -207,7 +207,7 @@
 		"hangs": func(ff *fleetFixture, i int) {
 			ff.entries[i].Address = hanging.Addr().String()
 			for _, f := range ff.instances {
-				f.peers.update(ff.entries)
+				f.peers.update(ff.entries, true)
 			}
 		},
 		"isolated": func(ff *fleetFixture, i int) { ff.instances[i].isolation.recordProbes(false) },
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -96,8 +96,8 @@
 	return errors.Join(stream.Err(), stream.Close())
 }
 
-// update applies the list of entry instances and opens connections to newly preferred peers.
-func (p *peers) update(entries []*wire.EntryInstance) {
+// update applies the list of entry instances and opens connections to newly preferred peers. Shares of connections are not computed from a list that may be incomplete.
+func (p *peers) update(entries []*wire.EntryInstance, isComplete bool) {
 	var peerList []relayer.Peer
 	var divertPeers []diverter.Peer
 	zoneInstances := 0
@@ -115,7 +115,9 @@
 			Address:  entry.GetAddress(),
 		})
 	}
-	p.zoneInstances.Store(int64(p.zoneInstanceCount.Update(time.Now(), zoneInstances)))
+	if isComplete {
+		p.zoneInstances.Store(int64(p.zoneInstanceCount.Update(time.Now(), zoneInstances)))
+	}
 	f := p.forwarder
 	f.allotments.update(entries)
 	f.mutex.Lock()
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -241,7 +241,7 @@
 		Instance: "far",
 		Zone:     "b",
 		Address:  address,
-	}})
+	}}, true)
 }
 
 func (rf *relayFixture) serve(t *testing.T) scatterer.Decision {
@@ -492,7 +492,7 @@
 			Zone:     "b",
 			Address:  rf.far.peers.server.Address(),
 		},
-	})
+	}, true)
 	// Either peer may be the preferred one.
 	for range 3 {
 		rf.requireCompleteAnswer(t)
