Compress the configuration once, and let commands wait for a leader

Cause: at the start of a fleet each entry instance fetches the configuration, which is compressed for each call when it exceeds 64 KB; and each heartbeat with news was retried every 50 ms while no leader was known, which for a thousand restarted replicas is some 20,000 commands a second, all through event loops.

Change: the compressed response is kept for each publication and written without the RPC library to clients that accept it. A command without a known leader waits for a change of leader, at most 400 ms.

Measured: TestDocument fails without the change of the handler (the response of the library is not compressed there, as it is small). Controller tests pass.

--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -82,12 +82,14 @@
 	lastChanges changes
 	admission   *admission
 	// hasLeader is a copy of whether this instance is in contact with a leader, for readers outside the event loop.
-	hasLeader  atomic.Bool
-	heartbeats *heartbeats
-	server     *listener.Server
-	client     *http.Client
-	stop       chan struct{}
-	done       chan struct{}
+	hasLeader atomic.Bool
+	// leaderChange wakes the commands that wait for a leader.
+	leaderChange *changeSignal
+	heartbeats   *heartbeats
+	server       *listener.Server
+	client       *http.Client
+	stop         chan struct{}
+	done         chan struct{}
 }
 
 // waiter receives the result of a proposed entry once it is applied. The term tells whether the applied entry is the proposed one.
@@ -140,6 +142,7 @@
 		done:      make(chan struct{}),
 	}
 	c.tables = newTables(c)
+	c.leaderChange = newChangeSignal()
 	c.admission = newAdmission(c.meter)
 	if err := c.restore(persisted); err != nil {
 		return nil, errors.Join(err, store.Close())
@@ -235,9 +238,11 @@
 	mux.Handle(wireconnect.NewControlServiceHandler(&controlService{
 		controller: c,
 	}, listener.CompressLargeReplies()))
-	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{
+	path, fleet := wireconnect.NewFleetServiceHandler(&fleetService{
 		controller: c,
-	}, listener.CompressLargeReplies()))
+	}, listener.CompressLargeReplies())
+	mux.Handle(path, fleet)
+	mux.Handle(wireconnect.FleetServiceDocumentProcedure, newDocuments(c, fleet))
 	mux.Handle(wireconnect.NewJournalServiceHandler(&journalService{
 		controller: c,
 	}, listener.CompressLargeReplies()))
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -21,6 +21,8 @@
 	maxHold = 5 * time.Second
 	// commandRetryDelay is the delay before a failed command is retried, for example while no leader is known.
 	commandRetryDelay = 50 * time.Millisecond
+	// leaderWait is the longest time that a command waits to be woken by a change of leader before it is retried.
+	leaderWait = 400 * time.Millisecond
 	// changeBatchDelay is how long a change is held back to be sent with others, as when many replicas start. It is far below the seconds within which a change must be known everywhere.
 	changeBatchDelay = 30 * time.Millisecond
 	// forwardTimeout bounds a call to the leader, which may be down. It is shorter than the second that replicas wait for a response.
@@ -277,12 +279,18 @@
 // execute commits a command here or at the leader, and retries until the context ends. Retries are safe because all commands of this service are idempotent.
 func (c *Controller) execute(ctx context.Context, command *wire.Command, call func(context.Context, wireconnect.FleetServiceClient) (applier.Result, error)) (applier.Result, error) {
 	for {
+		leaderChanged := c.leaderChange.wait()
+		delay := commandRetryDelay
 		result, err := c.command(ctx, command)
 		var notLeader *journaler.NotLeaderError
 		if err == nil || errors.Is(err, errClosed) {
 			return result, err
 		}
 		if errors.As(err, &notLeader) {
+			if notLeader.Leader == "" {
+				// Without a leader, a thousand replicas that announce themselves would keep the event loop busy with retries.
+				delay = leaderWait
+			}
 			if address := c.addresses.find(notLeader.Leader); address != "" {
 				result, err = c.forward(ctx, address, call)
 			}
@@ -295,7 +303,8 @@
 			return applier.Result{}, err
 		case <-c.done:
 			return applier.Result{}, errClosed
-		case <-time.After(commandRetryDelay):
+		case <-leaderChanged:
+		case <-time.After(delay):
 		}
 	}
 }
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -90,6 +90,7 @@
 	if current.leader != c.leadership.leader || current.role == journaler.Leader != (c.leadership.role == journaler.Leader) {
 		c.log.Info("leader changed", "leader", current.leader, "term", current.term, "leads", current.role == journaler.Leader,
 			"before", c.leadership.leader, "committed", c.machine.CommitIndex(), "last-index", c.machine.LastIndex(), "votes", c.machine.Members().VoterCount())
+		c.leaderChange.notify()
 	}
 	c.leadership = current
 }
--- a/internal/transport/controller/start_test.go
+++ b/internal/transport/controller/start_test.go
@@ -221,3 +221,38 @@
 		})
 	}
 }
+
+// TestDocument guards against a configuration that is compressed anew for each entry instance, and checks that each kind of client receives the current one.
+func TestDocument(t *testing.T) {
+	c := newControls(t, 1)[0]
+	defer c.Close()
+	client := listener.NewClient()
+	recorder := &encodingRecorder{
+		RoundTripper: client.Transport,
+	}
+	client.Transport = recorder
+	defer client.CloseIdleConnections()
+	cases := []struct {
+		name     string
+		options  []connect.ClientOption
+		encoding string
+	}{
+		{"compressed", nil, "gzip"},
+		{"plain", []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}, ""},
+		{"JSON", []connect.ClientOption{connect.WithProtoJSON()}, ""},
+	}
+	for version := range uint64(3) {
+		for _, k := range cases {
+			service := wireconnect.NewFleetServiceClient(client, "http://"+c.Address(), k.options...)
+			response, err := service.Document(t.Context(), connect.NewRequest(&wire.DocumentRequest{}))
+			check(t, err)
+			if got := response.Msg.GetPublication().GetVersion(); got != version || recorder.last != k.encoding {
+				t.Errorf("%s: version %d encoded as %q, want version %d encoded as %q", k.name, got, recorder.last, version, k.encoding)
+			}
+		}
+		_, err := c.PublishDocument(t.Context(), &wire.Publication{
+			Version: version + 1,
+		})
+		check(t, err)
+	}
+}
