Send the state to peers also before serving with it

Cause: in a trial with 80 entry instances, all 33 calls of peers failed with 'no state yet': control names instances that have shown to hold a state, which they may not be allowed to serve with yet.

Change: such a state is sent without a confirmation. The receiver holds it too and needs only the changes from control, which are not limited. The line 'state received' names the peer that sent the table.

Measured: TestFirstState with the new case.

--- a/internal/transport/forwarder/control_poller.go
+++ b/internal/transport/forwarder/control_poller.go
@@ -137,7 +137,7 @@
 	}
 	p.rosterDigest = response.GetRoster()
 	d.apply(response)
-	d.markInitialized(stateFromControl, p.address)
+	d.markInitialized(p.address)
 	return nil
 }
 
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -56,8 +56,10 @@
 	mutex      sync.Mutex
 	subscriber *subscriber.Subscriber
 	// hasTable is set once a complete replica table was received; index is the journal index of the table. initialized is set once the instance may also serve with it.
-	hasTable      bool
-	initialized   bool
+	hasTable    bool
+	initialized bool
+	// tablePeer is the peer that sent the first table, empty if a control instance did.
+	tablePeer     string
 	index         uint64
 	configVersion uint64
 	// publication is the configuration as received, and packed an encoded form of the replica table at an index that is not above the current one. Both are kept for peers, as are the fields up to confirmedAt.
@@ -282,16 +284,20 @@
 	}
 }
 
-// markInitialized allows the instance to serve with the state that it holds, which a control instance or a peer has sent.
-func (d *directory) markInitialized(source stateSource, from string) {
+// markInitialized allows the instance to serve with the state that it holds, after a response of a control instance or a peer.
+func (d *directory) markInitialized(from string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.initialized || !d.hasTable {
 		return
 	}
 	d.initialized = true
+	source := stateFromControl
+	if d.tablePeer != "" {
+		source = stateFromPeer
+	}
 	d.forwarder.meter.recordState(source)
-	d.forwarder.log.Info("state received", "source", source, "from", from, "index", d.index, "version", d.configVersion,
+	d.forwarder.log.Info("state received", "source", source, "table-peer", d.tablePeer, "from", from, "index", d.index, "version", d.configVersion,
 		"replicas", len(d.replicas), "confirmed", !d.confirmedAt.IsZero(), "after-ms", time.Since(d.startedAt).Milliseconds())
 }
 
--- a/internal/transport/forwarder/state_fetcher.go
+++ b/internal/transport/forwarder/state_fetcher.go
@@ -178,11 +178,21 @@
 	}
 }
 
+// recordTablePeer records that the first table comes from a peer, unless there is one already.
+func (d *directory) recordTablePeer(peer string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.hasTable {
+		d.tablePeer = peer
+	}
+}
+
 // receiveFromPeer applies the state of a peer. If no quorum has confirmed it recently, the instance serves with it only once it may serve with an unconfirmed response of a single control instance.
 func (d *directory) receiveFromPeer(peer string, response *wire.StateResponse, packed *packer.Packed) error {
 	age := time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond
 	isConfirmed := response.ConfirmedMsAgo != nil && age <= maxConfirmedAge
 	if state := response.GetState(); state != nil {
+		d.recordTablePeer(peer)
 		// The peer's lists of instances may be out of date, so they are not treated as confirmed.
 		state.Confirmed = false
 		state.Followers = 0
@@ -200,6 +210,6 @@
 	if isConfirmed {
 		d.recordConfirmation(time.Now().Add(-age))
 	}
-	d.markInitialized(stateFromPeer, peer)
+	d.markInitialized(peer)
 	return nil
 }
--- a/internal/transport/forwarder/state_service.go
+++ b/internal/transport/forwarder/state_service.go
@@ -58,7 +58,7 @@
 
 func (l *callLimit) finish() { l.running.Add(-1) }
 
-// stateFor returns the state for a peer, or errNoState if this instance does not serve with one yet.
+// stateFor returns the state for a peer, or errNoState if this instance has none. A state that this instance does not serve with yet is sent without a confirmation; the peer then needs the changes only.
 func (d *directory) stateFor(request *wire.StateRequest) (*wire.StateResponse, error) {
 	if err := d.repack(); err != nil {
 		return nil, err
@@ -66,7 +66,7 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if !d.initialized || d.packed == nil {
+	if !d.hasTable || d.packed == nil {
 		return nil, errNoState
 	}
 	response := &wire.StateResponse{}
@@ -98,7 +98,7 @@
 func (d *directory) repack() error {
 	d.mutex.Lock()
 	isRecent := d.packed != nil && len(d.replicasSince(d.packed.Index))+len(d.suspectsSince(d.packed.Index)) <= maxPackedChanges
-	if isRecent || !d.initialized {
+	if isRecent || !d.hasTable {
 		d.mutex.Unlock()
 		return nil
 	}
--- a/internal/transport/forwarder/state_test.go
+++ b/internal/transport/forwarder/state_test.go
@@ -86,7 +86,7 @@
 }
 
 // give gives an instance a state as a control instance does.
-func give(t *testing.T, f *Forwarder, index, version uint64, confirmed bool) {
+func give(t *testing.T, f *Forwarder, index, version uint64, confirmed, isServing bool) {
 	t.Helper()
 	d := f.directory
 	state := wholeState(index)
@@ -98,7 +98,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.markInitialized(stateFromControl, "test")
+	if isServing {
+		d.markInitialized("test")
+	}
 }
 
 func awaitReady(t *testing.T, f *Forwarder, within time.Duration) {
@@ -114,7 +116,7 @@
 func TestFirstState(t *testing.T) {
 	cases := []struct {
 		name string
-		// peer is the state of the peer that the refusal names: "none", "confirmed" or "unconfirmed"; "down" if it is not running.
+		// peer is the state of the peer that the refusal names: "none", "confirmed", "unconfirmed" or "held", if it does not serve with it yet; "down" if it is not running.
 		peer      string
 		refusals  int64
 		confirmed bool
@@ -127,6 +129,7 @@
 		{"peer is down", "down", 1, true, stateIndex, 2, time.Second},
 		// The second call needs the changes since the peer's state only, so it is not refused.
 		{"peer's state is unconfirmed", "unconfirmed", 100, true, stateIndex + 1, 2, time.Second},
+		{"peer does not serve yet", "held", 100, true, stateIndex + 1, 2, time.Second},
 		{"nothing is confirmed", "unconfirmed", 100, false, stateIndex + 1, 3, singleUnconfirmedDelay + time.Second},
 	}
 	for _, c := range cases {
@@ -138,7 +141,7 @@
 				address = "127.0.0.1:1"
 			case "none":
 			default:
-				give(t, peer, stateIndex+1, stateVersion+1, c.peer == "confirmed")
+				give(t, peer, stateIndex+1, stateVersion+1, c.peer == "confirmed", c.peer != "held")
 			}
 			control := &busyControl{
 				retryAfterMs: 100,
@@ -171,9 +174,9 @@
 // TestPeerStateIsNeverOlder guards against a peer's state that takes an instance back in its version, index or drains.
 func TestPeerStateIsNeverOlder(t *testing.T) {
 	f := newTestForwarder(t, "entry-1", "a")
-	give(t, f, stateIndex, stateVersion, true)
+	give(t, f, stateIndex, stateVersion, true, true)
 	old := newTestForwarder(t, "peer", "a")
-	give(t, old, stateIndex-1, stateVersion-1, true)
+	give(t, old, stateIndex-1, stateVersion-1, true, true)
 	response, err := old.directory.stateFor(&wire.StateRequest{})
 	if err != nil {
 		t.Fatal(err)
