Hold back frequent changes for longer in large fleets

Cause: each change woke all followers after 30 ms, so that a thousand replicas that announce themselves made each control instance answer thousands of calls a second, at the time at which it also serves whole states and elects a leader.

Change: while at least ten changes a second follow each other, a change is held back for 1 ms for each follower, 30 to 200 ms. Otherwise it is 30 ms as before.

--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -23,8 +23,6 @@
 	commandRetryDelay = 50 * time.Millisecond
 	// leaderWait is the longest time that a command waits to be woken by a change of leader before it is retried.
 	leaderWait = 400 * time.Millisecond
-	// changeBatchDelay is how long a change is held back to be sent with others, as when many replicas start. It is far below the seconds within which a change must be known everywhere.
-	changeBatchDelay = 30 * time.Millisecond
 	// forwardTimeout bounds a call to the leader, which may be down. It is shorter than the second that replicas wait for a response.
 	forwardTimeout = 700 * time.Millisecond
 )
@@ -127,7 +125,7 @@
 		}
 		select {
 		case <-changed:
-			time.Sleep(changeBatchDelay)
+			time.Sleep(c.followers.batchDelay())
 		case <-holdTimer.C:
 			waiting = false
 		case <-ctx.Done():
--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -14,6 +14,16 @@
 // followerTTL is how long an entry instance counts as a follower after its last call. It covers several calls.
 const followerTTL = 5 * time.Second
 
+const (
+	// minBatchDelay and maxBatchDelay bound how long a change is held back to be sent with others. They are far below the second within which a change must be known everywhere.
+	minBatchDelay = 30 * time.Millisecond
+	maxBatchDelay = 200 * time.Millisecond
+	// batchDelayPerFollower bounds the responses to some 1,000 a second while changes follow each other, as when a thousand replicas start.
+	batchDelayPerFollower = time.Millisecond
+	// frequentChanges is the number of changes in a second from which the delay depends on the number of followers.
+	frequentChanges = 10
+)
+
 // follower is an entry instance and the time of its last call.
 type follower struct {
 	entry    *wire.EntryInstance
@@ -27,6 +37,10 @@
 	index      uint64
 	changed    chan struct{}
 	byInstance map[string]follower
+	// secondStart is when the current second began, in which changeCount changes were published; previousCount is that of the second before.
+	secondStart   time.Time
+	changeCount   int
+	previousCount int
 	// startTime is when this instance began to record followers.
 	startTime time.Time
 }
@@ -46,12 +60,36 @@
 	if version == f.version && index == f.index {
 		return
 	}
+	f.countChange(time.Now())
 	f.version = version
 	f.index = index
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// countChange counts a change in the current second; the mutex must be held.
+func (f *followers) countChange(now time.Time) {
+	if elapsed := now.Sub(f.secondStart); elapsed >= time.Second {
+		f.previousCount = f.changeCount
+		if elapsed >= 2*time.Second {
+			f.previousCount = 0
+		}
+		f.changeCount = 0
+		f.secondStart = now
+	}
+	f.changeCount++
+}
+
+// batchDelay returns how long a change is held back to be sent with others.
+func (f *followers) batchDelay() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if max(f.changeCount, f.previousCount) < frequentChanges {
+		return minBatchDelay
+	}
+	return min(max(minBatchDelay, time.Duration(len(f.byInstance))*batchDelayPerFollower), maxBatchDelay)
+}
+
 // hasState reports whether this instance has applied any entry of the journal.
 func (f *followers) hasState() bool {
 	f.mutex.Lock()
--- a/internal/transport/controller/start_test.go
+++ b/internal/transport/controller/start_test.go
@@ -256,3 +256,33 @@
 		check(t, err)
 	}
 }
+
+// TestBatchDelay guards against control instances that answer every follower after each of a thousand changes, and against changes that are held back in a quiet or a small fleet.
+func TestBatchDelay(t *testing.T) {
+	cases := []struct {
+		followers, changes int
+		age                time.Duration
+		want               time.Duration
+	}{
+		{300, 1, 0, minBatchDelay},
+		{300, 50, 0, maxBatchDelay},
+		{100, 50, 0, 100 * time.Millisecond},
+		{4, 50, 0, minBatchDelay},
+		{300, 50, 3 * time.Second, minBatchDelay},
+	}
+	for _, c := range cases {
+		f := newFollowers()
+		for i := range c.followers {
+			f.record(time.Now(), &wire.EntryInstance{
+				Instance: fmt.Sprintf("entry-%d", i),
+			})
+		}
+		for range c.changes {
+			f.countChange(time.Now().Add(-c.age))
+		}
+		f.countChange(time.Now())
+		if got := f.batchDelay(); got != c.want {
+			t.Errorf("%d followers, %d changes %s ago: held back for %s, want %s", c.followers, c.changes, c.age, got, c.want)
+		}
+	}
+}
