--- a/internal/transport/controller/followers.go
+++ b/internal/transport/controller/followers.go
@@ -18,6 +18,14 @@
 	// settleAge is how long this instance records followers before it lists those that it has heard of, and settleDelay how long no new one must have called. All that start together have called by then.
 	settleAge   = time.Second
 	settleDelay = 500 * time.Millisecond
+
+	// minBatchDelay and maxBatchDelay bound how long a change is held back to be sent with others. They are far below the second within which a change must be known everywhere.
+	minBatchDelay = 30 * time.Millisecond
+	maxBatchDelay = 200 * time.Millisecond
+	// batchDelayPerFollower bounds the responses to some 1,000 a second while changes follow each other, as when a thousand replicas start.
+	batchDelayPerFollower = time.Millisecond
+	// frequentChanges is the number of changes in a second from which the delay depends on the number of followers.
+	frequentChanges = 10
 )
 
 // follower is an entry instance and the time of its last call.
@@ -33,6 +41,10 @@
 	index      uint64
 	changed    chan struct{}
 	byInstance map[string]follower
+	// secondStart is when the current second began, in which changeCount changes were published; previousCount is that of the second before.
+	secondStart   time.Time
+	changeCount   int
+	previousCount int
 	// startTime is when this instance began to record followers, and addedAt when the last new one called.
 	startTime time.Time
 	addedAt   time.Time
@@ -53,12 +65,36 @@
 	if version == f.version && index == f.index {
 		return
 	}
+	f.countChange(time.Now())
 	f.version = version
 	f.index = index
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// countChange counts a change in the current second; the mutex must be held.
+func (f *followers) countChange(now time.Time) {
+	if elapsed := now.Sub(f.secondStart); elapsed >= time.Second {
+		f.previousCount = f.changeCount
+		if elapsed >= 2*time.Second {
+			f.previousCount = 0
+		}
+		f.changeCount = 0
+		f.secondStart = now
+	}
+	f.changeCount++
+}
+
+// batchDelay returns how long a change is held back to be sent with others.
+func (f *followers) batchDelay() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if max(f.changeCount, f.previousCount) < frequentChanges {
+		return minBatchDelay
+	}
+	return min(max(minBatchDelay, time.Duration(len(f.byInstance))*batchDelayPerFollower), maxBatchDelay)
+}
+
 // hasState reports whether this instance has applied any entry of the journal.
 func (f *followers) hasState() bool {
 	f.mutex.Lock()
--- a/internal/transport/controller/start_test.go
+++ b/internal/transport/controller/start_test.go
@@ -221,3 +221,68 @@
 		})
 	}
 }
+
+// TestDocument guards against a configuration that is compressed anew for each entry instance, and checks that each kind of client receives the current one.
+func TestDocument(t *testing.T) {
+	c := newControls(t, 1)[0]
+	defer c.Close()
+	client := listener.NewClient()
+	recorder := &encodingRecorder{
+		RoundTripper: client.Transport,
+	}
+	client.Transport = recorder
+	defer client.CloseIdleConnections()
+	cases := []struct {
+		name     string
+		options  []connect.ClientOption
+		encoding string
+	}{
+		{"compressed", nil, "gzip"},
+		{"plain", []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}, ""},
+		{"JSON", []connect.ClientOption{connect.WithProtoJSON()}, ""},
+	}
+	for version := range uint64(3) {
+		for _, k := range cases {
+			service := wireconnect.NewFleetServiceClient(client, "http://"+c.Address(), k.options...)
+			response, err := service.Document(t.Context(), connect.NewRequest(&wire.DocumentRequest{}))
+			check(t, err)
+			if got := response.Msg.GetPublication().GetVersion(); got != version || recorder.last != k.encoding {
+				t.Errorf("%s: version %d encoded as %q, want version %d encoded as %q", k.name, got, recorder.last, version, k.encoding)
+			}
+		}
+		_, err := c.PublishDocument(t.Context(), &wire.Publication{
+			Version: version + 1,
+		})
+		check(t, err)
+	}
+}
+
+// TestBatchDelay guards against control instances that answer every follower after each of a thousand changes, and against changes that are held back in a quiet or a small fleet.
+func TestBatchDelay(t *testing.T) {
+	cases := []struct {
+		followers, changes int
+		age                time.Duration
+		want               time.Duration
+	}{
+		{300, 1, 0, minBatchDelay},
+		{300, 50, 0, maxBatchDelay},
+		{100, 50, 0, 100 * time.Millisecond},
+		{4, 50, 0, minBatchDelay},
+		{300, 50, 3 * time.Second, minBatchDelay},
+	}
+	for _, c := range cases {
+		f := newFollowers()
+		for i := range c.followers {
+			f.record(time.Now(), &wire.EntryInstance{
+				Instance: fmt.Sprintf("entry-%d", i),
+			})
+		}
+		for range c.changes {
+			f.countChange(time.Now().Add(-c.age))
+		}
+		f.countChange(time.Now())
+		if got := f.batchDelay(); got != c.want {
+			t.Errorf("%d followers, %d changes %s ago: held back for %s, want %s", c.followers, c.changes, c.age, got, c.want)
+		}
+	}
+}
