Divide allotments anew when settings or zones change, and simulate a lowered limit

Without zone-regions the number of zones was that of the list at the first configuration, which may be short. Metrics forget organisations that are gone.

--- a/internal/coordination/allotter/fleet_test.go
+++ b/internal/coordination/allotter/fleet_test.go
@@ -70,6 +70,25 @@
 			s.hides = func(int, int) bool { return false }
 			s.serve(simDuration / 3)
 		}},
+		{"the limit of the hot organisation lowered", 1.0 / 50, func(s *simulation) {
+			s.serve(simDuration / 2)
+			for _, o := range s.organisations {
+				if o.factor > 1 {
+					o.limit.Rate /= 4
+					o.limit.Burst /= 4
+				}
+			}
+			s.version++
+			// Instances learn of it within half a second, and leases of before last as long.
+			s.serve(2 * LeaseDuration)
+			for _, o := range s.organisations {
+				o.admitted = nil
+				if o.factor > 1 {
+					o.owed = 0
+				}
+			}
+			s.serve(simDuration / 2)
+		}},
 		{"instances join and leave", 1.0 / 50, func(s *simulation) {
 			s.serve(simDuration / 3)
 			for range 10 {
--- a/internal/transport/forwarder/allotment_meter.go
+++ b/internal/transport/forwarder/allotment_meter.go
@@ -101,17 +101,33 @@
 	}
 }
 
+// retain forgets all organisations that are not known.
+func (m *allotmentMeter) retain(known map[string]bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for organisation, o := range m.organisations {
+		if known[organisation] {
+			continue
+		}
+		if o.isMetered {
+			m.metered--
+			m.changes++
+		}
+		delete(m.organisations, organisation)
+	}
+}
+
 // updateMetered gives the organisation metrics of its own while there is room, or if it has twice the use of the least used one that has them.
 func (m *allotmentMeter) updateMetered(o *organisationMeter) {
 	if o.isMetered {
 		return
 	}
-	if m.metered < meteredOrganisations {
+	if m.metered < meteredOrganisations && m.changes < maxMeterChanges {
 		o.isMetered = true
 		m.metered++
 		return
 	}
-	if m.changes == maxMeterChanges {
+	if m.changes >= maxMeterChanges {
 		return
 	}
 	var least *organisationMeter
--- a/internal/transport/forwarder/allotments.go
+++ b/internal/transport/forwarder/allotments.go
@@ -61,6 +61,8 @@
 	keeper      *allotter.Keeper
 	holder      *allotter.Holder
 	table       *matcher.RoutingTable
+	// zones is the number of availability zones between which allotments are divided.
+	zones       int
 	useListener UseListener
 
 	ctx    context.Context
@@ -152,10 +154,18 @@
 // refresh applies the configuration in force; the mutex must be held. It waits for the list of instances, without which this instance would take itself for the keeper of every organisation.
 func (a *allotments) refresh(now time.Time) {
 	table := a.forwarder.routingTable.Load()
-	if table == nil || table == a.table || !a.roster.IsKnown() {
+	if table == nil || !a.roster.IsKnown() {
 		return
 	}
-	a.table = table
+	// Without a setting, a zone that was seen once keeps its share, as its instances may only be cut off.
+	zones := max(a.zones, a.roster.Zones())
+	if declared := len(a.forwarder.currentSettings().ZoneRegions); declared > 0 {
+		zones = declared
+	}
+	if table == a.table && zones == a.zones {
+		return
+	}
+	a.table, a.zones = table, zones
 	var limits []allotter.Limit
 	known := map[string]bool{}
 	if table.Keyring != nil {
@@ -170,19 +180,23 @@
 	}
 	a.keeper.Configure(now, limits, a.terms(now))
 	a.holder.Retain(func(organisation string) bool { return known[organisation] })
+	a.meter.retain(known)
+}
+
+// reconfigure applies changed settings at the next occasion.
+func (a *allotments) reconfigure() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.table = nil
 }
 
 func (a *allotments) terms(now time.Time) allotter.Terms {
 	settings := a.forwarder.currentSettings()
-	zones := len(settings.ZoneRegions)
-	if zones == 0 {
-		zones = a.roster.Zones()
-	}
 	return allotter.Terms{
 		Window:     time.Duration(settings.AllotmentWindowMs) * time.Millisecond,
 		Overage:    settings.AllotmentOverage,
 		Tolerance:  settings.AllotmentTolerance,
-		Zones:      zones,
+		Zones:      a.zones,
 		FirstStart: settings.FirstStart && now.Sub(a.startedAt) < firstStartSpan,
 	}
 }
--- a/internal/transport/forwarder/allotments_test.go
+++ b/internal/transport/forwarder/allotments_test.go
@@ -230,9 +230,7 @@
 	}
 	for _, f := range sf.instances {
 		f.RoutingTable().Keyring = keyring
-		f.allotments.mutex.Lock()
-		f.allotments.table = nil
-		f.allotments.mutex.Unlock()
+		f.allotments.reconfigure()
 	}
 	time.Sleep(2 * time.Second)
 	sf.cut(0, cutHang)
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -186,6 +186,7 @@
 	f.policies.CallerAllowance = time.Duration(settings.CallerAllowanceMs) * time.Millisecond
 	f.updateRetryLimits()
 	f.mutex.Unlock()
+	f.allotments.reconfigure()
 	f.directory.addControlInstances(checker.ReplacePort(settings.ControlSeeds, settings.ControlPeers))
 }
 
