Let stand-ins borrow from the keeper of their own zone

An instance that found the keeper slow went to a stand-in, which could not use the zone's own tokens. It also learns from that call whether the keeper's build knows allotments, so the probes for it are gone. A test checks the settling delay, without which no test had failed.

--- a/internal/coordination/allotter/fleet_test.go
+++ b/internal/coordination/allotter/fleet_test.go
@@ -1,6 +1,7 @@
 package allotter
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -21,7 +22,8 @@
 	play func(s *simulation)
 }
 
-func faults() []fault {
+// instanceFaults are those of instances and limits.
+func instanceFaults() []fault {
 	return []fault{
 		{"calm", 1.0 / 200, func(s *simulation) {
 			s.lostShare = 0
@@ -43,33 +45,6 @@
 			}
 			s.serve(simDuration / 3)
 		}},
-		{"a zone cut off", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return min(n%simZones, 1) }) }},
-		{"zones cut from each other", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return n % simZones }) }},
-		{"a zone in pieces", 1.0 / 50, func(s *simulation) {
-			s.cutPieces(func(n int) int {
-				if n%simZones != 0 {
-					return 0
-				}
-				return n / simZones % 2
-			})
-		}},
-		{"pieces of a zone that reach all else", 1.0 / 50, func(s *simulation) {
-			s.isControlled = func(int) bool { return true }
-			s.cut = func(a, b int) bool { return a+b == 3 }
-			s.cutPieces(func(n int) int {
-				if n%simZones != 0 {
-					return 0
-				}
-				return 1 + n/simZones%2
-			})
-		}},
-		{"instances unknown to others", 1.0 / 50, func(s *simulation) {
-			s.serve(simDuration / 3)
-			s.hides = func(viewer, listed int) bool { return viewer != listed && (viewer+listed)%4 == 0 }
-			s.serve(simDuration / 3)
-			s.hides = func(int, int) bool { return false }
-			s.serve(simDuration / 3)
-		}},
 		{"the limit of the hot organisation lowered", 1.0 / 50, func(s *simulation) {
 			s.serve(simDuration / 2)
 			for _, o := range s.organisations {
@@ -103,6 +78,39 @@
 	}
 }
 
+// linkFaults are those of links and of lists of instances.
+func linkFaults() []fault {
+	return []fault{
+		{"a zone cut off", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return min(n%simZones, 1) }) }},
+		{"zones cut from each other", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return n % simZones }) }},
+		{"a zone in pieces", 1.0 / 50, func(s *simulation) {
+			s.cutPieces(func(n int) int {
+				if n%simZones != 0 {
+					return 0
+				}
+				return n / simZones % 2
+			})
+		}},
+		{"pieces of a zone that reach all else", 1.0 / 50, func(s *simulation) {
+			s.isControlled = func(int) bool { return true }
+			s.cut = func(a, b int) bool { return a+b == 3 }
+			s.cutPieces(func(n int) int {
+				if n%simZones != 0 {
+					return 0
+				}
+				return 1 + n/simZones%2
+			})
+		}},
+		{"instances unknown to others", 1.0 / 50, func(s *simulation) {
+			s.serve(simDuration / 3)
+			s.hides = func(viewer, listed int) bool { return viewer != listed && (viewer+listed)%4 == 0 }
+			s.serve(simDuration / 3)
+			s.hides = func(int, int) bool { return false }
+			s.serve(simDuration / 3)
+		}},
+	}
+}
+
 // forSome plays rounds in which the fault begins at a few instances and ends after the duration.
 func (s *simulation) forSome(duration time.Duration, count int, begin, end func(*simInstance)) {
 	const rounds = 6
@@ -159,7 +167,7 @@
 
 // TestFleetKeepsAllotments guards against more requests than the allotment in any window, and against refusals of what is owed, while callers are uneven, one organisation sends 4 to 7 times its usual rate, and instances, links and lists fail.
 func TestFleetKeepsAllotments(t *testing.T) {
-	for _, f := range faults() {
+	for _, f := range slices.Concat(instanceFaults(), linkFaults()) {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			result := fleetResult{
--- a/internal/coordination/allotter/keeper.go
+++ b/internal/coordination/allotter/keeper.go
@@ -326,15 +326,21 @@
 	return at.Sub(now)
 }
 
-// Lenders returns whom to ask for missing tokens: the keepers of the other zones, and the previous keeper for a while after a takeover. A lender that had nothing is left out until it expects a token.
+// Lenders returns whom to ask for missing tokens: the keepers of the other zones, for a stand-in the keeper of its own, which other instances may only have found slow, and for a new keeper the previous one. A lender that had nothing is left out until it expects a token.
 func (k *Keeper) Lenders(now time.Time, organisation string) []Member {
 	b := k.buckets[organisation]
 	if b == nil {
 		return nil
 	}
-	tookOver := b.rank == 0 && now.Sub(b.firstSince) < removalDelay
+	ownZoneFrom := 0
+	if b.rank == 0 {
+		ownZoneFrom = keeperRanks
+		if now.Sub(b.firstSince) < removalDelay {
+			ownZoneFrom = 1
+		}
+	}
 	var lenders []Member
-	for _, m := range k.roster.Lenders(now, organisation, tookOver) {
+	for _, m := range k.roster.Lenders(now, organisation, ownZoneFrom) {
 		if !now.Before(b.askLenderAt[m.Instance]) {
 			lenders = append(lenders, m)
 		}
--- a/internal/coordination/allotter/keeper_test.go
+++ b/internal/coordination/allotter/keeper_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// TestStartedKeeperSettles guards against tokens granted by a new process that knows a short list of instances, on which it ranks first for everything.
+func TestStartedKeeperSettles(t *testing.T) {
+	_, r, now := testKeeper(1, Limit{})
+	k := NewKeeper(r, now)
+	k.Configure(now, []Limit{{
+		Organisation: "o",
+		Rate:         3,
+		Burst:        6,
+	}}, Terms{
+		Window:    5 * time.Second,
+		Tolerance: 20,
+		Zones:     1,
+	})
+	if k.Keeps(now.Add(settleDelay-1), "o") || !k.Keeps(now.Add(settleDelay), "o") {
+		t.Error("the instance does not keep tokens exactly from the settling delay on")
+	}
+}
+
 // TestLeaseExpires guards against tokens that an instance holds for longer than the lease, which would add up over all instances.
 func TestLeaseExpires(t *testing.T) {
 	h := NewHolder()
@@ -270,6 +288,45 @@
 	}
 }
 
+// TestLenders guards against tokens of the own zone that nobody can use while some instances find its keeper slow, or after another instance has taken over.
+func TestLenders(t *testing.T) {
+	k, r, now := testKeeper(3, Limit{
+		Rate:  3,
+		Burst: 6,
+	})
+	members := []Member{{
+		Instance: "other",
+		Zone:     "b",
+		Address:  "other:1",
+	}}
+	for n := range 5 {
+		members = append(members, Member{
+			Instance: fmt.Sprintf("entry-%d", n),
+			Zone:     "a",
+			Address:  "entry:1",
+		})
+	}
+	r.Update(now, members)
+	k.Tick(now, true)
+	top := r.rank("a", "o")
+	wanted := map[int]string{
+		0: top.peers[1].Instance,
+		1: top.peers[0].Instance,
+		2: top.peers[0].Instance,
+	}
+	for rank, want := range wanted {
+		r.self = top.peers[rank].Member
+		k.assignRanks(now)
+		lenders := map[string]bool{}
+		for _, m := range k.Lenders(now, "o") {
+			lenders[m.Instance] = true
+		}
+		if len(lenders) != 2 || !lenders["other"] || !lenders[want] {
+			t.Errorf("rank %d borrows from %v, want other and %s", rank, lenders, want)
+		}
+	}
+}
+
 // TestUse guards against use that is lost or that is counted for longer than its memory.
 func TestUse(t *testing.T) {
 	k, _, now := testKeeper(1, Limit{})
--- a/internal/coordination/allotter/roster.go
+++ b/internal/coordination/allotter/roster.go
@@ -196,38 +196,21 @@
 	return keeperRanks
 }
 
-// Lenders returns the keeper of each other availability zone that is not bypassed, and after a takeover within the own zone the previous keepers.
-func (r *Roster) Lenders(now time.Time, organisation string, includeOwnZone bool) []Member {
+// Lenders returns the keeper of each other availability zone that is not bypassed, and of the own zone the first instance in rank from the given place on, if it is another one.
+func (r *Roster) Lenders(now time.Time, organisation string, ownZoneFrom int) []Member {
 	var lenders []Member
 	for zone := range r.byZone {
+		from := 0
 		if zone == r.self.Zone {
-			continue
+			from = ownZoneFrom
 		}
-		if m, _, found := r.Keeper(now, zone, organisation, 0); found {
-			lenders = append(lenders, m)
-		}
-	}
-	if includeOwnZone {
-		if m, _, found := r.Keeper(now, r.self.Zone, organisation, 1); found && m.Instance != r.self.Instance {
+		if m, _, found := r.Keeper(now, zone, organisation, from); found && m.Instance != r.self.Instance {
 			lenders = append(lenders, m)
 		}
 	}
 	return lenders
 }
 
-// Superiors returns the instances of the own zone that rank before this one.
-func (r *Roster) Superiors(organisation string) []Member {
-	top := r.rank(r.self.Zone, organisation)
-	var list []Member
-	for _, p := range top.peers[:top.count] {
-		if p.Instance == r.self.Instance {
-			return list
-		}
-		list = append(list, p.Member)
-	}
-	return nil
-}
-
 // ZoneMembers returns the other instances of the own zone that have a rank.
 func (r *Roster) ZoneMembers() []Member {
 	var members []Member
--- a/internal/transport/forwarder/allotment_contact.go
+++ b/internal/transport/forwarder/allotment_contact.go
@@ -17,58 +17,38 @@
 	// contactProbes is how many instances of the zone are asked whether they respond while there is no such response, and contactProbeInterval how often.
 	contactProbes        = 9
 	contactProbeInterval = time.Second
-	// rankProbeInterval is how often a stand-in that is asked for tokens asks the instances before it whether their builds know allotments.
-	rankProbeInterval = 5 * time.Second
 )
 
-// contactMonitor finds out whether this instance may be cut off from instances that replace it as the keeper. The mutex of the allotments guards probedAt and toProbe.
+// contactMonitor finds out whether this instance may be cut off from instances that replace it as the keeper.
 type contactMonitor struct {
 	allotments  *allotments
 	confirmedAt atomic.Int64
 	reachesZone bool
 	checkedAt   time.Time
-	probedAt    map[string]time.Time
-	toProbe     []allotter.Member
 }
 
 func newContactMonitor(a *allotments) *contactMonitor {
 	return &contactMonitor{
 		allotments:  a,
 		reachesZone: true,
-		probedAt:    map[string]time.Time{},
 	}
 }
 
 // recordConfirmed records a response of a control instance that is in contact with a quorum.
 func (m *contactMonitor) recordConfirmed() { m.confirmedAt.Store(time.Now().UnixNano()) }
 
-// noteAsked has the instances that rank before this one probed; the allotments' mutex must be held.
-func (m *contactMonitor) noteAsked(organisation string) {
-	now := time.Now()
-	for _, superior := range m.allotments.roster.Superiors(organisation) {
-		if now.Sub(m.probedAt[superior.Instance]) >= rankProbeInterval {
-			m.probedAt[superior.Instance] = now
-			m.toProbe = append(m.toProbe, superior)
-		}
-	}
-}
-
 // check sends the probes that are due, and reports whether this instance may earn its zone's rate.
 func (m *contactMonitor) check(ctx context.Context) bool {
-	a := m.allotments
 	now := time.Now()
-	a.mutex.Lock()
-	probes := m.toProbe
-	m.toProbe = nil
-	members := a.roster.ZoneMembers()
-	a.mutex.Unlock()
-	m.probe(ctx, probes)
 	if now.Sub(time.Unix(0, m.confirmedAt.Load())) < contactSpan {
 		m.reachesZone = true
 		return true
 	}
 	if now.Sub(m.checkedAt) >= contactProbeInterval {
 		m.checkedAt = now
+		m.allotments.mutex.Lock()
+		members := m.allotments.roster.ZoneMembers()
+		m.allotments.mutex.Unlock()
 		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 		members = members[:min(len(members), contactProbes)]
 		// This instance counts as one of those that respond.
--- a/internal/transport/forwarder/allotment_service.go
+++ b/internal/transport/forwarder/allotment_service.go
@@ -72,7 +72,6 @@
 
 // allot grants tokens, after borrowing some if there is none; the mutex must be held, and is released while it borrows.
 func (a *allotments) allot(ctx context.Context, organisation string, wanted float64) allotter.Grant {
-	a.contact.noteAsked(organisation)
 	granted := a.keeper.Allot(time.Now(), organisation, wanted)
 	if granted.Missing > 0 && a.borrow(organisation, granted.Missing) {
 		if ctx.Err() != nil {
--- a/internal/transport/forwarder/allotments.go
+++ b/internal/transport/forwarder/allotments.go
@@ -56,11 +56,11 @@
 	meter     *allotmentMeter
 	contact   *contactMonitor
 
-	mutex       sync.Mutex
-	roster      *allotter.Roster
-	keeper      *allotter.Keeper
-	holder      *allotter.Holder
-	table       *matcher.RoutingTable
+	mutex  sync.Mutex
+	roster *allotter.Roster
+	keeper *allotter.Keeper
+	holder *allotter.Holder
+	table  *matcher.RoutingTable
 	// zones is the number of availability zones between which allotments are divided.
 	zones       int
 	useListener UseListener
--- a/internal/transport/forwarder/allotments_test.go
+++ b/internal/transport/forwarder/allotments_test.go
@@ -305,3 +305,33 @@
 	}
 	b.ReportMetric(float64(timeouts), "timeouts")
 }
+
+// TestUseIsReported guards against use that does not reach the keeper, or that is not passed on, of organisations with an allotment and of those without.
+func TestUseIsReported(t *testing.T) {
+	af := newAllotFixture(t)
+	unlimited := *af.organisation
+	unlimited.RatePerSecond = 0
+	for name, organisation := range map[string]*matcher.Organisation{
+		"limited":   af.organisation,
+		"unlimited": &unlimited,
+	} {
+		t.Run(name, func(t *testing.T) {
+			af.organisation = organisation
+			f := af.asker()
+			told := make(chan float64, 1000)
+			f.SetUseListener(func(_ string, usedPerSecond, _ float64) { told <- usedPerSecond })
+			for end := time.After(5 * time.Second); ; {
+				af.charge(f)
+				select {
+				case used := <-told:
+					if used > 0 {
+						return
+					}
+				case <-end:
+					t.Fatal("no use was told")
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		})
+	}
+}
