--- a/internal/coordination/allotter/keeper_test.go
+++ b/internal/coordination/allotter/keeper_test.go
@@ -63,10 +63,15 @@
 		min, max int
 	}{
 		{"first start", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) { return k, now }, 20, 21},
-		{"a second after it is drained", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
+		{"a second after it is drained, without a lender that responds", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
 			drain(now, k)
 			return k, tickUntil(now, k, time.Second)
-		}, 10, 12},
+		}, 11, 11},
+		{"a second after it is drained, with a lender", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
+			drain(now, k)
+			k.Borrowed(now, "o", "other", 1, Loan{})
+			return k, tickUntil(now, k, time.Second)
+		}, 10, 10},
 		{"process restarted: its grants are not made again", func(k *Keeper, r *Roster, now time.Time) (*Keeper, time.Time) {
 			drain(now, k)
 			restarted := NewKeeper(r, now)
