Test that a build without allotments loses its rank

Two tests had passed with their mechanism off on a scratch copy: the settling delay's, which used the constant itself, and TestKeeperFails, in which a bypass hid that the answer unimplemented was not heeded.

--- a/internal/coordination/allotter/keeper_test.go
+++ b/internal/coordination/allotter/keeper_test.go
@@ -170,8 +170,11 @@
 		Tolerance: 20,
 		Zones:     1,
 	})
-	if k.Keeps(now.Add(settleDelay-1), "o") || !k.Keeps(now.Add(settleDelay), "o") {
-		t.Error("the instance does not keep tokens exactly from the settling delay on")
+	if k.Keeps(now.Add(200*time.Millisecond), "o") {
+		t.Error("the instance grants tokens 200 ms after its first list")
+	}
+	if !k.Keeps(now.Add(time.Second), "o") {
+		t.Error("the instance grants no tokens a second after its first list")
 	}
 }
 
--- a/internal/transport/forwarder/allotments_test.go
+++ b/internal/transport/forwarder/allotments_test.go
@@ -174,11 +174,13 @@
 		failing int
 		address string
 		want    scatterer.Reason
+		// isAbsent is set if the keeper loses its rank for longer than a bypass.
+		isAbsent bool
 	}{
-		{"ended", 1, "127.0.0.1:1", scatterer.ReasonNone},
-		{"hangs", 1, hanging.Addr().String(), scatterer.ReasonNone},
-		{"build of the last release", 1, older.URL[len("http://"):], scatterer.ReasonNone},
-		{"keeper and stand-ins hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown},
+		{"ended", 1, "127.0.0.1:1", scatterer.ReasonNone, false},
+		{"hangs", 1, hanging.Addr().String(), scatterer.ReasonNone, false},
+		{"build of the last release", 1, older.URL[len("http://"):], scatterer.ReasonNone, true},
+		{"keeper and stand-ins hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -195,6 +197,12 @@
 			af.requireCharge(asker, c.want, min(c.failing, 2))
 			af.requireCharge(asker, c.want, max(c.failing-2, 0))
 			af.requireCharge(asker, c.want, 0)
+			asker.allotments.mutex.Lock()
+			defer asker.allotments.mutex.Unlock()
+			next, _, _ := asker.allotments.roster.Keeper(time.Now().Add(2*time.Second), "a", af.organisation.Name, 0)
+			if isAbsent := next.Instance != af.entries[failing[0]].GetInstance(); isAbsent != c.isAbsent {
+				t.Errorf("the keeper has lost its rank: %v, want %v", isAbsent, c.isAbsent)
+			}
 		})
 	}
 }
