--- a/internal/coordination/allotter/fleet_test.go
+++ b/internal/coordination/allotter/fleet_test.go
@@ -1,6 +1,7 @@
 package allotter
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -21,7 +22,8 @@
 	play func(s *simulation)
 }
 
-func faults() []fault {
+// instanceFaults are those of instances and limits.
+func instanceFaults() []fault {
 	return []fault{
 		{"calm", 1.0 / 200, func(s *simulation) {
 			s.lostShare = 0
@@ -43,6 +45,42 @@
 			}
 			s.serve(simDuration / 3)
 		}},
+		{"the limit of the hot organisation lowered", 1.0 / 50, func(s *simulation) {
+			s.serve(simDuration / 2)
+			for _, o := range s.organisations {
+				if o.factor > 1 {
+					o.limit.Rate /= 4
+					o.limit.Burst /= 4
+				}
+			}
+			s.version++
+			// Instances learn of it within half a second, and leases of before last as long.
+			s.serve(2 * LeaseDuration)
+			for _, o := range s.organisations {
+				o.admitted = nil
+				if o.factor > 1 {
+					o.owed = 0
+				}
+			}
+			s.serve(simDuration / 2)
+		}},
+		{"instances join and leave", 1.0 / 50, func(s *simulation) {
+			s.serve(simDuration / 3)
+			for range 10 {
+				s.addInstance()
+			}
+			s.serve(simDuration / 3)
+			for _, i := range s.instances[40:50] {
+				i.isDown = true
+			}
+			s.serve(simDuration / 3)
+		}},
+	}
+}
+
+// linkFaults are those of links and of lists of instances.
+func linkFaults() []fault {
+	return []fault{
 		{"a zone cut off", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return min(n%simZones, 1) }) }},
 		{"zones cut from each other", 1.0 / 50, func(s *simulation) { s.cutPieces(func(n int) int { return n % simZones }) }},
 		{"a zone in pieces", 1.0 / 50, func(s *simulation) {
@@ -70,17 +108,6 @@
 			s.hides = func(int, int) bool { return false }
 			s.serve(simDuration / 3)
 		}},
-		{"instances join and leave", 1.0 / 50, func(s *simulation) {
-			s.serve(simDuration / 3)
-			for range 10 {
-				s.addInstance()
-			}
-			s.serve(simDuration / 3)
-			for _, i := range s.instances[40:50] {
-				i.isDown = true
-			}
-			s.serve(simDuration / 3)
-		}},
 	}
 }
 
@@ -140,7 +167,7 @@
 
 // TestFleetKeepsAllotments guards against more requests than the allotment in any window, and against refusals of what is owed, while callers are uneven, one organisation sends 4 to 7 times its usual rate, and instances, links and lists fail.
 func TestFleetKeepsAllotments(t *testing.T) {
-	for _, f := range faults() {
+	for _, f := range slices.Concat(instanceFaults(), linkFaults()) {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			result := fleetResult{
--- a/internal/coordination/allotter/keeper_test.go
+++ b/internal/coordination/allotter/keeper_test.go
@@ -63,10 +63,15 @@
 		min, max int
 	}{
 		{"first start", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) { return k, now }, 20, 21},
-		{"a second after it is drained", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
+		{"a second after it is drained, without a lender that responds", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
 			drain(now, k)
 			return k, tickUntil(now, k, time.Second)
-		}, 10, 12},
+		}, 11, 11},
+		{"a second after it is drained, with a lender", func(k *Keeper, _ *Roster, now time.Time) (*Keeper, time.Time) {
+			drain(now, k)
+			k.Borrowed(now, "o", "other", 1, Loan{})
+			return k, tickUntil(now, k, time.Second)
+		}, 10, 10},
 		{"process restarted: its grants are not made again", func(k *Keeper, r *Roster, now time.Time) (*Keeper, time.Time) {
 			drain(now, k)
 			restarted := NewKeeper(r, now)
@@ -152,6 +157,27 @@
 	}
 }
 
+// TestStartedKeeperSettles guards against tokens granted by a new process that knows a short list of instances, on which it ranks first for everything.
+func TestStartedKeeperSettles(t *testing.T) {
+	_, r, now := testKeeper(1, Limit{})
+	k := NewKeeper(r, now)
+	k.Configure(now, []Limit{{
+		Organisation: "o",
+		Rate:         3,
+		Burst:        6,
+	}}, Terms{
+		Window:    5 * time.Second,
+		Tolerance: 20,
+		Zones:     1,
+	})
+	if k.Keeps(now.Add(200*time.Millisecond), "o") {
+		t.Error("the instance grants tokens 200 ms after its first list")
+	}
+	if !k.Keeps(now.Add(time.Second), "o") {
+		t.Error("the instance grants no tokens a second after its first list")
+	}
+}
+
 // TestLeaseExpires guards against tokens that an instance holds for longer than the lease, which would add up over all instances.
 func TestLeaseExpires(t *testing.T) {
 	h := NewHolder()
@@ -270,6 +296,45 @@
 	}
 }
 
+// TestLenders guards against tokens of the own zone that nobody can use while some instances find its keeper slow, or after another instance has taken over.
+func TestLenders(t *testing.T) {
+	k, r, now := testKeeper(3, Limit{
+		Rate:  3,
+		Burst: 6,
+	})
+	members := []Member{{
+		Instance: "other",
+		Zone:     "b",
+		Address:  "other:1",
+	}}
+	for n := range 5 {
+		members = append(members, Member{
+			Instance: fmt.Sprintf("entry-%d", n),
+			Zone:     "a",
+			Address:  "entry:1",
+		})
+	}
+	r.Update(now, members)
+	k.Tick(now, true)
+	top := r.rank("a", "o")
+	wanted := map[int]string{
+		0: top.peers[1].Instance,
+		1: top.peers[0].Instance,
+		2: top.peers[0].Instance,
+	}
+	for rank, want := range wanted {
+		r.self = top.peers[rank].Member
+		k.assignRanks(now)
+		lenders := map[string]bool{}
+		for _, m := range k.Lenders(now, "o") {
+			lenders[m.Instance] = true
+		}
+		if len(lenders) != 2 || !lenders["other"] || !lenders[want] {
+			t.Errorf("rank %d borrows from %v, want other and %s", rank, lenders, want)
+		}
+	}
+}
+
 // TestUse guards against use that is lost or that is counted for longer than its memory.
 func TestUse(t *testing.T) {
 	k, _, now := testKeeper(1, Limit{})
--- a/internal/transport/forwarder/allotments_test.go
+++ b/internal/transport/forwarder/allotments_test.go
@@ -174,11 +174,13 @@
 		failing int
 		address string
 		want    scatterer.Reason
+		// isAbsent is set if the keeper loses its rank for longer than a bypass.
+		isAbsent bool
 	}{
-		{"ended", 1, "127.0.0.1:1", scatterer.ReasonNone},
-		{"hangs", 1, hanging.Addr().String(), scatterer.ReasonNone},
-		{"build of the last release", 1, older.URL[len("http://"):], scatterer.ReasonNone},
-		{"keeper and stand-ins hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown},
+		{"ended", 1, "127.0.0.1:1", scatterer.ReasonNone, false},
+		{"hangs", 1, hanging.Addr().String(), scatterer.ReasonNone, false},
+		{"build of the last release", 1, older.URL[len("http://"):], scatterer.ReasonNone, true},
+		{"keeper and stand-ins hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -195,6 +197,12 @@
 			af.requireCharge(asker, c.want, min(c.failing, 2))
 			af.requireCharge(asker, c.want, max(c.failing-2, 0))
 			af.requireCharge(asker, c.want, 0)
+			asker.allotments.mutex.Lock()
+			defer asker.allotments.mutex.Unlock()
+			next, _, _ := asker.allotments.roster.Keeper(time.Now().Add(2*time.Second), "a", af.organisation.Name, 0)
+			if isAbsent := next.Instance != af.entries[failing[0]].GetInstance(); isAbsent != c.isAbsent {
+				t.Errorf("the keeper has lost its rank: %v, want %v", isAbsent, c.isAbsent)
+			}
 		})
 	}
 }
@@ -230,9 +238,7 @@
 	}
 	for _, f := range sf.instances {
 		f.RoutingTable().Keyring = keyring
-		f.allotments.mutex.Lock()
-		f.allotments.table = nil
-		f.allotments.mutex.Unlock()
+		f.allotments.reconfigure()
 	}
 	time.Sleep(2 * time.Second)
 	sf.cut(0, cutHang)
@@ -307,3 +313,33 @@
 	}
 	b.ReportMetric(float64(timeouts), "timeouts")
 }
+
+// TestUseIsReported guards against use that does not reach the keeper, or that is not passed on, of organisations with an allotment and of those without.
+func TestUseIsReported(t *testing.T) {
+	af := newAllotFixture(t)
+	unlimited := *af.organisation
+	unlimited.RatePerSecond = 0
+	for name, organisation := range map[string]*matcher.Organisation{
+		"limited":   af.organisation,
+		"unlimited": &unlimited,
+	} {
+		t.Run(name, func(t *testing.T) {
+			af.organisation = organisation
+			f := af.asker()
+			told := make(chan float64, 1000)
+			f.SetUseListener(func(_ string, usedPerSecond, _ float64) { told <- usedPerSecond })
+			for end := time.After(5 * time.Second); ; {
+				af.charge(f)
+				select {
+				case used := <-told:
+					if used > 0 {
+						return
+					}
+				case <-end:
+					t.Fatal("no use was told")
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		})
+	}
+}
