Weigh the load that replicas report by how well it predicts

Replicas may report in the header Instance-Load what they run, what waits, their slots and how long work takes on their machine. A report counts beside what was observed by the squares of both errors in recent replies, and half after a second, so that a false or old report soon loses its weight. Failed attempts that have decayed to nothing no longer cost time for each choice.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -43,8 +43,11 @@
 
 	latency  time.Duration
 	estimate estimator.Replica
+	load     loadReport
 	// hash names the replica in conditions.
-	hash       uint64
+	hash uint64
+	// service is the state of the replica's service.
+	service    *serviceState
 	startTimes []time.Time
 	// relayedTimes holds the start times of the attempts that this instance relays for peers.
 	relayedTimes []time.Time
@@ -131,6 +134,7 @@
 	b.replicasByID[replica.ID] = added
 	b.replicasByHash[added.hash] = added
 	s := b.ensureService(replica.Service)
+	added.service = s
 	s.replicas = append(s.replicas, added)
 }
 
@@ -262,7 +266,8 @@
 
 // cost returns the expected time to a useful reply of an attempt at the replica, plus penalties. Random jitter breaks ties, so that instances do not all pick the same replica.
 func (b *Balancer) cost(now time.Time, s *serviceState, r *ReplicaState, work time.Duration) time.Duration {
-	cost := b.costOf(now, s, r, work)
+	var cost Cost
+	b.setCost(&cost, now, s, r, work)
 	return cost.Total() + time.Duration(b.random.Int64N(int64(time.Millisecond)/4))
 }
 
@@ -329,9 +334,7 @@
 func (b *Balancer) RecordAnswer(r *ReplicaState, class string, latency time.Duration) {
 	r.consecutiveFailures = 0
 	r.latency = updateAverage(r.latency, latency)
-	if s := b.services[r.Service]; s != nil {
-		s.meanLatency = updateAverage(s.meanLatency, latency)
-	}
+	r.service.meanLatency = updateAverage(r.service.meanLatency, latency)
 	b.latenciesOf(class).observe(latency)
 }
 
@@ -340,10 +343,8 @@
 	if waited > r.latency {
 		r.latency = updateAverage(r.latency, waited)
 	}
-	if s := b.services[r.Service]; s != nil {
-		b.estimator.RecordSlowReply(now, &s.estimate, &r.estimate, work, waited)
-		b.noteDeviation(now, r)
-	}
+	b.estimator.RecordSlowReply(now, &r.service.estimate, &r.estimate, work, waited)
+	b.noteDeviation(now, r)
 }
 
 // RecordFailure records a failed attempt and starts a backoff.
--- a/internal/coordination/balancer/condition.go
+++ b/internal/coordination/balancer/condition.go
@@ -45,10 +45,8 @@
 			continue
 		}
 		b.deviating = append(b.deviating, r)
-		if s := b.services[r.Service]; s != nil {
-			left, _ := r.ownWorkLeft(now, time.Duration(float64(s.typicalLatency())*r.slowness(now)))
-			c.WorkLeft = time.Duration(left)
-		}
+		left, _ := r.ownWorkLeft(now, time.Duration(float64(r.service.typicalLatency())*r.slowness(now)))
+		c.WorkLeft = time.Duration(left)
 		conditions = append(conditions, Condition{
 			Replica:   r.hash,
 			Condition: c,
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -36,29 +36,27 @@
 	// Avoided is the penalty of a replica that stalls, has failed or may stop at any moment.
 	Avoided  time.Duration
 	Slowness float64
-	Failures estimator.Failures
+	// Rejected and Lost are the probabilities that the attempt is rejected or left without a useful reply.
+	Rejected float64
+	Lost     float64
 }
 
 // Total returns the expected time to a useful reply.
 func (c *Cost) Total() time.Duration { return c.Work + c.Wait + c.Zone + c.Repeats + c.Avoided }
 
-// costOf returns the expected time to a useful reply of an attempt at the replica.
-func (b *Balancer) costOf(now time.Time, s *serviceState, r *ReplicaState, work time.Duration) Cost {
-	slowness := r.slowness(now)
-	c := Cost{
-		Slowness: slowness,
-		Work:     time.Duration(float64(work) * slowness),
-		Failures: b.estimator.Failures(now, &r.estimate, b.fleetFailures(now)),
+// setCost sets the expected time to a useful reply of an attempt at the replica. c must be empty; it is not returned because copies take a part of the time for a decision.
+func (b *Balancer) setCost(c *Cost, now time.Time, s *serviceState, r *ReplicaState, work time.Duration) {
+	c.Slowness = r.slowness(now)
+	c.Work = time.Duration(float64(work) * c.Slowness)
+	if r.isBusy() {
+		latency := time.Duration(float64(s.typicalLatency()) * c.Slowness)
+		c.Wait = max(r.wait(now, latency), r.load.wait(now, latency))
 	}
-	c.Wait = r.wait(now, time.Duration(float64(s.typicalLatency())*slowness))
 	if r.Zone != b.zone {
 		c.Zone = crossZonePenalty
 	}
-	if r.isProbeDue(now) {
-		c.Failures.Lost = 0
-	}
-	if c.Failures.Rejected > 0 || c.Failures.Lost > 0 {
-		c.Repeats = b.repeatPrice(now, work, &c.Failures)
+	if b.estimator.MayFail(&r.estimate) {
+		c.Rejected, c.Lost, c.Repeats = b.repeatPrice(now, r, work)
 	}
 	if oldestAge := r.oldestAttemptAge(now); oldestAge > stallFactor*max(work, s.typicalLatency()) {
 		c.Avoided += oldestAge
@@ -69,15 +67,23 @@
 	if r.isLastResort() {
 		c.Avoided += 2 * maxBackoff
 	}
-	return c
 }
 
-// repeatPrice returns the expected price of the repeats. A rejection takes little time, but while many attempts fail, each repeat takes the place of another one in the retry budget.
-func (b *Balancer) repeatPrice(now time.Time, work time.Duration, f *estimator.Failures) time.Duration {
+// isBusy reports whether an attempt at the replica may have to wait, by anything known.
+func (r *ReplicaState) isBusy() bool {
+	return len(r.startTimes)+len(r.relayedTimes) > 0 || !r.load.at.IsZero() || r.estimate.HasWorkLeft()
+}
+
+// repeatPrice returns the probabilities that an attempt is rejected and lost, and the expected price of its repeats. A rejection takes little time, but while many attempts fail, each repeat takes the place of another one in the retry budget.
+func (b *Balancer) repeatPrice(now time.Time, r *ReplicaState, work time.Duration) (float64, float64, time.Duration) {
 	fleet := b.fleetFailures(now)
+	f := b.estimator.Failures(now, &r.estimate, fleet)
+	if r.isProbeDue(now) {
+		f.Lost = 0
+	}
 	scarcity := min(1, (fleet.Rejected+fleet.Lost)/scarceShare)
 	price := repeatTime + work + time.Duration(scarcity*float64(scarcityPrice))
-	return time.Duration((f.Rejected+f.Lost)*float64(price) + f.Lost*float64(lossTime))
+	return f.Rejected, f.Lost, time.Duration((f.Rejected+f.Lost)*float64(price) + f.Lost*float64(lossTime))
 }
 
 // isProbeDue reports whether the replica is to be tried after a failure, so that one that was lost comes back.
@@ -95,7 +101,9 @@
 }
 
 // slowness returns how long the replica takes for a request, in relation to the mean of its service.
-func (r *ReplicaState) slowness(now time.Time) float64 { return r.estimate.Slowness(now) }
+func (r *ReplicaState) slowness(now time.Time) float64 {
+	return r.load.slowness(now, r.estimate.Slowness(now))
+}
 
 // wait returns how long an attempt waits for a slot and for the work in progress, if each attempt takes the given time.
 func (r *ReplicaState) wait(now time.Time, latency time.Duration) time.Duration {
@@ -164,10 +172,13 @@
 }
 
 func (b *Balancer) recordReplyTime(now time.Time, reply ReplyTime, work time.Duration) {
-	if s := b.services[reply.Replica.Service]; s != nil {
-		b.estimator.RecordReply(now, &s.estimate, &reply.Replica.estimate, work, reply.Elapsed)
-		b.noteDeviation(now, reply.Replica)
+	r := reply.Replica
+	s := r.service
+	if work > 0 && !r.load.at.IsZero() {
+		r.load.compare(float64(reply.Elapsed)/(float64(work)*s.estimate.Weight()), r.estimate.Slowness(now))
 	}
+	b.estimator.RecordReply(now, &s.estimate, &r.estimate, work, reply.Elapsed)
+	b.noteDeviation(now, r)
 }
 
 func (b *Balancer) medianElapsed(replies []ReplyTime) time.Duration {
@@ -198,12 +209,10 @@
 
 // Explain returns the cost of an attempt at the replica for a request of the given work.
 func (b *Balancer) Explain(now time.Time, r *ReplicaState, work time.Duration) Cost {
-	s := b.services[r.Service]
-	if s == nil {
-		return Cost{}
-	}
 	if work == 0 {
-		work = s.typicalLatency()
+		work = r.service.typicalLatency()
 	}
-	return b.costOf(now, s, r, work)
+	var c Cost
+	b.setCost(&c, now, r.service, r, work)
+	return c
 }
--- a/internal/coordination/balancer/cost_test.go
+++ b/internal/coordination/balancer/cost_test.go
@@ -122,9 +122,9 @@
 		}
 	}
 	for i := range shards {
-		cost := origin.costOf(now, origin.services["s0"], origin.Find(fmt.Sprintf("s%d-a", i)), time.Millisecond)
-		if cost.Failures.Rejected < 0.4 {
-			t.Errorf("s%d-a rejects with probability %.2f", i, cost.Failures.Rejected)
+		cost := origin.Explain(now, origin.Find(fmt.Sprintf("s%d-a", i)), time.Millisecond)
+		if cost.Rejected < 0.4 {
+			t.Errorf("s%d-a rejects with probability %.2f", i, cost.Rejected)
 		}
 		if other := origin.Find(fmt.Sprintf("s%d-b", i)); origin.estimator.Failures(now, &other.estimate, origin.fleetFailures(now)).Evidence > 0 {
 			t.Error("a condition of a replica in another zone was told")
--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -14,6 +14,8 @@
 	IsLeaving bool
 	// RetryAfter is how long the replica accepts no request from this instance, after it has rejected one.
 	RetryAfter time.Duration
+	// Load is the load that the replica reports, which may be false or out of date.
+	Load ReplicaLoad
 }
 
 // leavingGrace is how long a replica that is leaving remains a last resort. It accepts work for a few seconds.
@@ -27,6 +29,7 @@
 	if until := now.Add(notice.RetryAfter); until.After(r.pausedUntil) {
 		r.pausedUntil = until
 	}
+	r.load.record(now, notice.Load)
 	switch {
 	case !notice.RateLimit.IsStated:
 		r.pacer = nil
--- a/internal/coordination/estimator/condition.go
+++ b/internal/coordination/estimator/condition.go
@@ -73,6 +73,9 @@
 	r.workLeft, r.workLeftAt = min(c.WorkLeft, workLeftLifetime), now
 }
 
+// HasWorkLeft reports whether WorkLeft may return more than 0.
+func (r *Replica) HasWorkLeft() bool { return r.workLeft > 0 }
+
 // WorkLeft returns what is left of the work that peers had in flight at the replica.
 func (r *Replica) WorkLeft(now time.Time) time.Duration {
 	if r.workLeft == 0 {
--- a/internal/coordination/estimator/estimator.go
+++ b/internal/coordination/estimator/estimator.go
@@ -137,10 +137,14 @@
 	}
 }
 
+// MayFail reports whether an attempt at the replica may fail, by anything known. On calm days nothing has failed for long.
+func (e *Estimator) MayFail(r *Replica) bool {
+	return e.fleet.rejected > 0 || e.fleet.lost > 0 || r.endings.rejected > 0 || r.endings.lost > 0 || r.sharedEndings.attempts > 0
+}
+
 // Failures returns the probability that an attempt at the replica fails in a fleet with the given mean. The fewer and older the observations, the closer it is to the mean.
 func (e *Estimator) Failures(now time.Time, r *Replica, fleet Failures) Failures {
-	if e.fleet.rejected == 0 && e.fleet.lost == 0 && r.sharedEndings.attempts == 0 {
-		// Nothing has failed, as on most days.
+	if !e.MayFail(r) {
 		return Failures{
 			Evidence: r.endings.attempts,
 		}
--- a/internal/coordination/estimator/replica.go
+++ b/internal/coordination/estimator/replica.go
@@ -19,6 +19,8 @@
 	// sharedWeight is the number of attempts that one condition told by a peer counts for, and maxSharedWeight the most that all of them count for. Peers repeat what they have told before.
 	sharedWeight    = 3
 	maxSharedWeight = 6
+	// negligible is the number of failed attempts below which they are forgotten altogether, so that calm days cost no time.
+	negligible = 0.01
 	// forgivenLosses is how many recent losses do not count as a share of the attempts: a replica that was restarted loses an attempt and then answers all.
 	forgivenLosses = 1
 )
@@ -36,6 +38,9 @@
 	e.attempts = e.attempts*factor + attempts
 	e.rejected = e.rejected*factor + rejected
 	e.lost = e.lost*factor + lost
+	if e.rejected+e.lost < negligible {
+		e.rejected, e.lost = 0, 0
+	}
 }
 
 // at returns the counts as they are now.
--- a/internal/transport/forwarder/conditions.go
+++ b/internal/transport/forwarder/conditions.go
@@ -132,3 +132,28 @@
 		},
 	}
 }
+
+func loadToWire(load *balancer.ReplicaLoad) *wire.ReplicaLoad {
+	if !load.IsStated {
+		return nil
+	}
+	return &wire.ReplicaLoad{
+		Running:     uint32(load.Running),
+		Waiting:     uint32(load.Waiting),
+		Slots:       uint32(load.Slots),
+		WorkPercent: uint32(load.WorkPercent),
+	}
+}
+
+func loadFromWire(message *wire.ReplicaLoad) balancer.ReplicaLoad {
+	if message == nil {
+		return balancer.ReplicaLoad{}
+	}
+	return balancer.ReplicaLoad{
+		IsStated:    true,
+		Running:     int(message.GetRunning()),
+		Waiting:     int(message.GetWaiting()),
+		Slots:       int(message.GetSlots()),
+		WorkPercent: int(message.GetWorkPercent()),
+	}
+}
--- a/internal/transport/forwarder/conditions_test.go
+++ b/internal/transport/forwarder/conditions_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -30,7 +31,25 @@
 	rf.requireCompleteAnswer(t)
 	rf.near.mutex.Lock()
 	defer rf.near.mutex.Unlock()
-	if got := rf.near.balancer.Explain(time.Now(), rf.near.balancer.Find(id), time.Millisecond).Failures.Rejected; got < 0.5 {
+	if got := rf.near.balancer.Explain(time.Now(), rf.near.balancer.Find(id), time.Millisecond).Rejected; got < 0.5 {
 		t.Errorf("the origin expects rejections of %.2f", got)
 	}
 }
+
+// TestNoticeKeepsLoad checks that the load that a replica reports reaches the origin through a relay, and that a peer of the previous release, which sends none, reports none.
+func TestNoticeKeepsLoad(t *testing.T) {
+	for _, load := range []balancer.ReplicaLoad{{}, {
+		IsStated:    true,
+		Running:     1,
+		Waiting:     2,
+		Slots:       3,
+		WorkPercent: 150,
+	}} {
+		notice := noticeFromWire(noticeToWire(&balancer.Notice{
+			Load: load,
+		}))
+		if notice.Load != load {
+			t.Errorf("%+v became %+v", load, notice.Load)
+		}
+	}
+}
--- a/internal/transport/forwarder/notices.go
+++ b/internal/transport/forwarder/notices.go
@@ -73,6 +73,7 @@
 	if notice.RateLimit.IsStated {
 		message.RateLimit = &notice.RateLimit.PerSecond
 	}
+	message.Load = loadToWire(&notice.Load)
 	return message
 }
 
@@ -87,5 +88,6 @@
 		},
 		IsLeaving:  message.GetLeaving(),
 		RetryAfter: time.Duration(message.GetRetryAfterUs()) * time.Microsecond,
+		Load:       loadFromWire(message.GetLoad()),
 	}
 }
