--- a/internal/coordination/balancer/condition.go
+++ b/internal/coordination/balancer/condition.go
@@ -55,6 +55,9 @@
 	return conditions
 }
 
+// DeviatingCount returns how many replicas may have conditions to be told to peers.
+func (b *Balancer) DeviatingCount() int { return len(b.deviating) }
+
 // MergeCondition adds what a peer has told of a replica; unknown replicas are ignored.
 func (b *Balancer) MergeCondition(now time.Time, c Condition) {
 	if r := b.replicasByHash[c.Replica]; r != nil {
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -67,6 +67,9 @@
 	m.limitedReplicas.Update(float64(load.LimitedReplicas))
 	m.quarantinedRequests.Update(float64(f.screener.QuarantinedCount(now)))
 	m.minRetryBudget.Update(f.minRetryBudget(now))
+	failures := f.balancer.FleetFailures(now)
+	m.failedShare.Update(failures.Rejected + failures.Lost)
+	m.deviatingReplicas.Update(float64(f.balancer.DeviatingCount()))
 }
 
 // minRetryBudget returns the smallest remaining share of the retry budget of any service; the mutex must be held.
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -63,6 +63,8 @@
 	saturatedReplicas    tally.Gauge
 	limitedReplicas      tally.Gauge
 	quarantinedRequests  tally.Gauge
+	failedShare          tally.Gauge
+	deviatingReplicas    tally.Gauge
 }
 
 func newMeter() *meter {
@@ -98,6 +100,8 @@
 		saturatedReplicas:    s.Gauge("replicas_with_full_slots"),
 		limitedReplicas:      s.Gauge("replicas_limited"),
 		quarantinedRequests:  s.Gauge("requests_quarantined"),
+		failedShare:          s.Gauge("attempts_failed_share"),
+		deviatingReplicas:    s.Gauge("replicas_deviating"),
 	}
 }
 
