--- a/internal/coordination/estimator/estimator_test.go
+++ b/internal/coordination/estimator/estimator_test.go
@@ -124,5 +124,11 @@
 		if _, deviates := r.Condition(start); deviates {
 			t.Errorf("%s: what a peer has told is told again", name)
 		}
+		for range 20 {
+			e.RecordReply(start, &Service{}, &r, 0, 0)
+		}
+		if got := e.Failures(start, &r, Failures{}).Rejected; got > 0.2 {
+			t.Errorf("%s: rejects with probability %.2f after 20 replies", name, got)
+		}
 	}
 }
