Explain where an entry instance would send a request

Why a replica got a request could only be guessed from the log afterwards. pimentogate explain asks one entry instance (RelayService.Explain) and prints the route, and for each service the replicas with the expected time to a useful reply, its parts and what excludes others, the retry budget, and the reason and the time of a refusal, as a table or JSON. Nothing is sent or charged.

--- a/internal/coordination/shedder/shedder.go
+++ b/internal/coordination/shedder/shedder.go
@@ -51,6 +51,15 @@
 	return share >= shedThreshold || s.random.Float64() < share
 }
 
+// SentShare returns the probability with which Admit sends a sub-request.
+func (s *Shedder) SentShare(now time.Time, traffic Traffic) float64 {
+	share := s.AdmittedShare(now, traffic)
+	if share >= shedThreshold {
+		return 1
+	}
+	return share
+}
+
 // AdmittedShare returns the admitted share of the traffic, which congested answers reduce; it never exceeds the share of a more urgent class of the same service. Admit still sends everything while the share is at least shedThreshold.
 func (s *Shedder) AdmittedShare(now time.Time, traffic Traffic) float64 {
 	share := 1.0
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -106,6 +106,12 @@
 			example: "pimentogate trace 9c41d07be2a35f68 entry-1.log entry-2.log control-1.log",
 			run:     (*Operator).runTrace,
 		},
+		{
+			name:    "explain",
+			summary: "show where an entry instance would send a request now and why, without sending it",
+			example: "pimentogate explain -entry 127.0.0.1:7340 -host shop.example -path /search -organisation bakery",
+			run:     (*Operator).runExplain,
+		},
 	}
 }
 
