Forget replicas that no longer deviate at instances that do not relay

The list is read only for messages of relays, so that elsewhere it kept removed replicas and the gauge never fell. The gauge's sampler now prunes it.

--- a/internal/coordination/balancer/condition.go
+++ b/internal/coordination/balancer/condition.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,8 +56,15 @@
 	return conditions
 }
 
-// DeviatingCount returns how many replicas may have conditions to be told to peers.
-func (b *Balancer) DeviatingCount() int { return len(b.deviating) }
+// DeviatingCount returns how many replicas have conditions to be told to peers, and forgets the others. Instances that do not relay call Conditions never.
+func (b *Balancer) DeviatingCount(now time.Time) int {
+	b.deviating = slices.DeleteFunc(b.deviating, func(r *ReplicaState) bool {
+		_, deviates := r.estimate.Condition(now)
+		r.isDeviating = deviates && b.replicasByID[r.ID] == r
+		return !r.isDeviating
+	})
+	return len(b.deviating)
+}
 
 // MergeCondition adds what a peer has told of a replica; unknown replicas are ignored.
 func (b *Balancer) MergeCondition(now time.Time, c Condition) {
--- a/internal/coordination/balancer/cost_test.go
+++ b/internal/coordination/balancer/cost_test.go
@@ -130,7 +130,15 @@
 			t.Error("a condition of a replica in another zone was told")
 		}
 	}
-	if late := relay.Conditions(start.Add(time.Minute)); len(late) > 0 {
-		t.Errorf("%d conditions told a minute later", len(late))
+	if got := relay.DeviatingCount(now); got != shards {
+		t.Errorf("%d replicas deviate, want %d", got, shards)
+	}
+	relay.Remove("s0-a")
+	if got := relay.DeviatingCount(now); got != shards-1 {
+		t.Errorf("%d replicas deviate after one was removed, want %d", got, shards-1)
+	}
+	late := start.Add(time.Minute)
+	if conditions, count := relay.Conditions(late), relay.DeviatingCount(late); len(conditions) > 0 || count > 0 {
+		t.Errorf("%d conditions of %d replicas told a minute later", len(conditions), count)
 	}
 }
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -69,7 +69,7 @@
 	m.minRetryBudget.Update(f.minRetryBudget(now))
 	failures := f.balancer.FleetFailures(now)
 	m.failedShare.Update(failures.Rejected + failures.Lost)
-	m.deviatingReplicas.Update(float64(f.balancer.DeviatingCount()))
+	m.deviatingReplicas.Update(float64(f.balancer.DeviatingCount(now)))
 }
 
 // minRetryBudget returns the smallest remaining share of the retry budget of any service; the mutex must be held.
