--- a/internal/coordination/balancer/condition.go
+++ b/internal/coordination/balancer/condition.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,10 +46,8 @@
 			continue
 		}
 		b.deviating = append(b.deviating, r)
-		if s := b.services[r.Service]; s != nil {
-			left, _ := r.ownWorkLeft(now, time.Duration(float64(s.typicalLatency())*r.slowness(now)))
-			c.WorkLeft = time.Duration(left)
-		}
+		left, _ := r.ownWorkLeft(now, time.Duration(float64(r.service.typicalLatency())*r.slowness(now)))
+		c.WorkLeft = time.Duration(left)
 		conditions = append(conditions, Condition{
 			Replica:   r.hash,
 			Condition: c,
@@ -57,6 +56,16 @@
 	return conditions
 }
 
+// DeviatingCount returns how many replicas have conditions to be told to peers, and forgets the others. Instances that do not relay call Conditions never.
+func (b *Balancer) DeviatingCount(now time.Time) int {
+	b.deviating = slices.DeleteFunc(b.deviating, func(r *ReplicaState) bool {
+		_, deviates := r.estimate.Condition(now)
+		r.isDeviating = deviates && b.replicasByID[r.ID] == r
+		return !r.isDeviating
+	})
+	return len(b.deviating)
+}
+
 // MergeCondition adds what a peer has told of a replica; unknown replicas are ignored.
 func (b *Balancer) MergeCondition(now time.Time, c Condition) {
 	if r := b.replicasByHash[c.Replica]; r != nil {
