Drain availability zones by a command of the platform

It is forwarded to the leader, acknowledged once durable, and distributed as the list with the revision of the configuration in each Follow response. Entry instances keep the newest list. Replicas in drained zones are no candidates, get no preconnects and health checks, and a relay leaves attempts at them unsent. An attempt that waited for a connection is checked again before it is written. Requests that lack shards because of a drain are refused with zone-drained.

Tests of applier, cataloger, enroller, balancer, scatterer, exchanger and platform pass; of controller and forwarder those of this change and the relays.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -75,6 +75,8 @@
 	latencies    map[string]*latencyWindow
 	// instances is the number of entry instances that share the rate limits of replicas.
 	instances int
+	// drainedZones holds the availability zones to whose replicas nothing is sent.
+	drainedZones map[string]bool
 }
 
 // New returns a balancer without replicas for an instance in the availability zone.
@@ -130,51 +132,17 @@
 // Find returns the replica with the ID, or nil.
 func (b *Balancer) Find(id string) *ReplicaState { return b.replicasByID[id] }
 
-// Replicas returns all replicas that are not lost.
+// Replicas returns all replicas that are not lost, except those in drained availability zones.
 func (b *Balancer) Replicas() []Replica {
 	var replicas []Replica
 	for _, r := range b.replicasByID {
-		if !r.Lost {
+		if !r.Lost && !b.drainedZones[r.Zone] {
 			replicas = append(replicas, r.Replica)
 		}
 	}
 	return replicas
 }
 
-// ReplicaCount returns how many replicas the service has, except those that have left.
-func (b *Balancer) ReplicaCount(now time.Time, service string) int {
-	s := b.services[service]
-	if s == nil {
-		return 0
-	}
-	count := 0
-	for _, r := range s.replicas {
-		if !r.hasLeft(now) {
-			count++
-		}
-	}
-	return count
-}
-
-// NextSend returns when a replica of the service accepts an attempt, which is now or earlier if one does already. It returns false if the service has no replica, or only such that have left.
-func (b *Balancer) NextSend(now time.Time, service string) (time.Time, bool) {
-	s := b.services[service]
-	if s == nil {
-		return time.Time{}, false
-	}
-	var next time.Time
-	found := false
-	for _, r := range s.replicas {
-		if r.hasLeft(now) {
-			continue
-		}
-		if candidate := r.nextSend(now); !found || candidate.Before(next) {
-			next, found = candidate, true
-		}
-	}
-	return next, found
-}
-
 // Load is the load that this instance puts on all replicas.
 type Load struct {
 	// AttemptsInFlight is the number of attempts in flight, and SaturatedReplicas is the number of replicas on which they occupy every slot.
@@ -209,7 +177,7 @@
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
 	for _, candidate := range s.replicas {
-		if candidate.hasLeft(now) || candidate.nextSend(now).After(now) || !accept(candidate) {
+		if !b.isEligible(now, candidate) || candidate.nextSend(now).After(now) || !accept(candidate) {
 			continue
 		}
 		cost := b.cost(now, s, candidate)
--- /dev/null
+++ b/internal/coordination/scatterer/availability.go
@@ -0,0 +1,50 @@
+package scatterer
+
+import (
+	"time"
+)
+
+// retryAfterDrain is the Retry-After of a request whose replicas are in drained availability zones. The end of a drain is not known, and takes effect everywhere within seconds.
+const retryAfterDrain = time.Second
+
+// unavailability returns why too few shards have a replica that attempts may be sent to, or ReasonNone if enough have.
+func (j *Job) unavailability(now time.Time) Reason {
+	reachable, drained := 0, 0
+	for _, s := range j.shards {
+		switch {
+		case j.policies.Balancer.ReplicaCount(now, s.service) > 0:
+			reachable++
+		case j.policies.Balancer.HasDrainedReplica(now, s.service):
+			drained++
+		}
+	}
+	switch required := j.requiredCount(); {
+	case reachable >= required:
+		return ReasonNone
+	case reachable+drained >= required:
+		return ReasonZoneDrained
+	default:
+		return ReasonNoReplica
+	}
+}
+
+// refuseUnavailable refuses a request of which nothing was sent.
+func (j *Job) refuseUnavailable(reason Reason) {
+	d := Decision{
+		Kind:       Refused,
+		Reason:     reason,
+		RetryAfter: RetryAfterFailure,
+	}
+	if reason == ReasonZoneDrained {
+		d.RetryAfter = retryAfterDrain
+	}
+	j.setDecision(d)
+}
+
+// unsentReason returns why nothing of the request was sent after attempts had been made.
+func (j *Job) unsentReason(now time.Time) Reason {
+	if reason := j.unavailability(now); reason != ReasonNone {
+		return reason
+	}
+	return ReasonNoReplica
+}
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -139,18 +139,8 @@
 		})
 		return nil
 	}
-	reachable := 0
-	for _, s := range j.shards {
-		if j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
-			reachable++
-		}
-	}
-	if reachable < j.requiredCount() {
-		j.setDecision(Decision{
-			Kind:       Refused,
-			Reason:     ReasonNoReplica,
-			RetryAfter: RetryAfterFailure,
-		})
+	if reason := j.unavailability(now); reason != ReasonNone {
+		j.refuseUnavailable(reason)
 		return nil
 	}
 	if !j.shedShards(now) {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -154,6 +154,7 @@
 	ReasonCallerGone    Reason = "caller-gone"
 	ReasonIsolated      Reason = "instance-isolated"
 	ReasonPeerFailed    Reason = "peer-failed"
+	ReasonZoneDrained   Reason = "zone-drained"
 )
 
 // DecisionKind says what kind of answer the caller gets.
--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -20,6 +20,7 @@
 	Record  *wire.RecordResponse
 	Publish *wire.PublishResponse
 	Read    *wire.ReadResponse
+	Drain   *wire.DrainZoneResponse
 }
 
 // Applier is the replicated state, built by applying the commands of the journal in order.
@@ -83,6 +84,10 @@
 			a.Quarantiner.Report(a.Ledger.NowMs(), attempt, entry.GetIndex())
 		}
 		return Result{}, nil
+	case *wire.Command_DrainZone:
+		return Result{
+			Drain: a.Catalog.DrainZone(change.DrainZone),
+		}, nil
 	case *wire.Command_Read:
 		return Result{
 			Read: &wire.ReadResponse{
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -71,12 +71,15 @@
 	members      journaler.Members
 	fatalErr     error
 	appliedIndex uint64
-	followers    *followers
-	heartbeats   *heartbeats
-	server       *listener.Server
-	client       *http.Client
-	stop         chan struct{}
-	done         chan struct{}
+	// drainRevision is the configuration revision at which drainedZones were read.
+	drainRevision uint64
+	drainedZones  []string
+	followers     *followers
+	heartbeats    *heartbeats
+	server        *listener.Server
+	client        *http.Client
+	stop          chan struct{}
+	done          chan struct{}
 }
 
 // waiter receives the result of a proposed entry once it is applied. The term tells whether the applied entry is the proposed one.
@@ -383,6 +386,7 @@
 func (c *Controller) notifySubscribers() {
 	c.updateLeadership()
 	c.updateMembers()
+	c.logDrains()
 	if c.machine.Role() != journaler.Leader {
 		c.failWaiters(errLeadershipLost)
 	}
--- /dev/null
+++ b/internal/transport/controller/drain_zone.go
@@ -0,0 +1,63 @@
+package controller
+
+import (
+	"context"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"pimentogate.example/pimentogate/internal/state/applier"
+	"pimentogate.example/pimentogate/pkg/wire"
+	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
+)
+
+// DrainZone commits the drain of an availability zone, or its end, if this instance is the leader.
+func (s *fleetService) DrainZone(ctx context.Context, request *connect.Request[wire.DrainZoneRequest]) (*connect.Response[wire.DrainZoneResponse], error) {
+	result, err := s.controller.command(ctx, drainZoneCommand(request.Msg))
+	if err != nil {
+		return nil, s.controller.connectError(err)
+	}
+	return connect.NewResponse(result.Drain), nil
+}
+
+// DrainZone drains an availability zone or ends its drain, and returns once a quorum has stored the command. A repetition is committed as well: this instance's state may lack a later command that a repetition must follow.
+func (c *Controller) DrainZone(ctx context.Context, zone string, drained bool) error {
+	request := &wire.DrainZoneRequest{
+		Zone:    zone,
+		Drained: drained,
+	}
+	result, err := c.execute(ctx, drainZoneCommand(request), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
+		response, err := client.DrainZone(ctx, connect.NewRequest(request))
+		if err != nil {
+			return applier.Result{}, err
+		}
+		return applier.Result{
+			Drain: response.Msg,
+		}, nil
+	})
+	c.log.Info("zone drain requested", "drained-zone", zone, "drained", drained, "revision", result.Drain.GetRevision(), "acknowledged", err == nil)
+	return err
+}
+
+// logDrains logs the drained availability zones if an applied entry or snapshot has changed them. It must be called in the event loop.
+func (c *Controller) logDrains() {
+	drains := c.state.Catalog.ZoneDrains()
+	if drains.GetRevision() == c.drainRevision {
+		return
+	}
+	c.drainRevision = drains.GetRevision()
+	if slices.Equal(drains.GetZones(), c.drainedZones) {
+		return
+	}
+	c.log.Info("drained zones changed", "zones", drains.GetZones(), "before", c.drainedZones, "revision", drains.GetRevision())
+	c.drainedZones = drains.GetZones()
+	c.meter.drainedZones.Update(float64(len(c.drainedZones)))
+}
+
+func drainZoneCommand(request *wire.DrainZoneRequest) *wire.Command {
+	return &wire.Command{
+		Change: &wire.Command_DrainZone{
+			DrainZone: request,
+		},
+	}
+}
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -144,6 +144,7 @@
 		response.TimeMs = time.Now().UnixMilli()
 		response.Members = c.machine.Members()
 		response.Confirmed = c.machine.InContact(now)
+		response.Drains = c.state.Catalog.ZoneDrains()
 	})
 	return response, err
 }
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -28,6 +28,7 @@
 	readyReplicas tally.Gauge
 	followers     tally.Gauge
 	logLength     tally.Gauge
+	drainedZones  tally.Gauge
 }
 
 func newMeter(scope tally.Scope) *meter {
@@ -46,6 +47,7 @@
 		readyReplicas: scope.Gauge("replicas_enrolled"),
 		followers:     scope.Gauge("followers"),
 		logLength:     scope.Gauge("journal_entries_held"),
+		drainedZones:  scope.Gauge("zones_drained"),
 	}
 }
 
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -62,14 +62,16 @@
 // Exchanger sends attempts to replicas and pools the connections.
 type Exchanger struct {
 	codec      Codec
+	accepts    func(Target) bool
 	pools      *poolSet
 	bodyBudget *limiter.ByteBudget
 }
 
-// New returns an exchanger without connections. connectionLimit returns the maximum number of connections to a replica, and onOpen is called for each connection opened.
-func New(codec Codec, connectionLimit func(Target) int, onOpen func()) *Exchanger {
+// New returns an exchanger without connections. connectionLimit returns the maximum number of connections to a replica, accepts reports whether an attempt may still be sent to it, and onOpen is called for each connection opened.
+func New(codec Codec, connectionLimit func(Target) int, accepts func(Target) bool, onOpen func()) *Exchanger {
 	return &Exchanger{
 		codec:      codec,
+		accepts:    accepts,
 		bodyBudget: limiter.NewByteBudget(maxBufferedBodies),
 		pools: &poolSet{
 			byID:            map[string]*pool{},
@@ -230,6 +232,9 @@
 // Do runs the attempt; stopWork is when the replica should stop working on it.
 func (e *Exchanger) Do(x *Exchange, call *Call, target Target, stopWork time.Time) scatterer.Outcome {
 	for {
+		if !e.accepts(target) {
+			return unsentOutcome(x, scatterer.CauseNotAccepting)
+		}
 		conn, err := e.pools.acquire(x, target, call.AtMostOnce)
 		if err != nil {
 			outcome := unsentOutcome(x, "no connection: "+causeOf(err))
@@ -249,6 +254,12 @@
 		e.pools.release(target, conn, true)
 		return false, unsentOutcome(x, "nobody waits")
 	}
+	// The zone may have been drained while the attempt waited for the connection.
+	if !e.accepts(target) {
+		x.detach()
+		e.pools.release(target, conn, true)
+		return false, unsentOutcome(x, scatterer.CauseNotAccepting)
+	}
 	timeLeft := time.Until(stopWork)
 	encoded := call.encode(e.codec)
 	if encoded.err != nil || timeLeft <= 0 {
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -126,6 +126,9 @@
 		switch {
 		case response == "close":
 			return
+		case strings.HasPrefix(response, "slow "):
+			time.Sleep(300 * time.Millisecond)
+			fmt.Fprint(c.conn, strings.TrimPrefix(response, "slow "))
 		case response == "hang":
 			time.Sleep(10 * time.Second)
 			return
@@ -155,7 +158,7 @@
 }
 
 func newExchanger(limit int) *Exchanger {
-	return New(testCodec{}, func(Target) int { return limit }, func() {})
+	return New(testCodec{}, func(Target) int { return limit }, func(Target) bool { return true }, func() {})
 }
 
 func (f *fakeReplica) do(e *Exchanger, id string, bodySize int, atMostOnce bool, timeout time.Duration) scatterer.Outcome {
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -221,6 +221,7 @@
 }
 
 func (d *directory) apply(response *wire.FollowResponse) {
+	d.forwarder.drains.apply(response.GetDrains())
 	d.applyRoster(response)
 	count := d.instanceCount.Update(time.Now(), int(response.GetFollowers()))
 	if d.instanceCount.IsKnown() {
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 	entryInstances int
 
 	directory    *directory
+	drains       *drains
 	callers      *callerServer
 	readiness    *listener.Server
 	metrics      *listener.Server
@@ -102,7 +103,8 @@
 		Overrun:         &scatterer.Overrun{},
 	}
 	f.balancer.SetInstances(f.entryInstances)
-	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.recordConnection)
+	f.drains = newDrains(f)
+	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.drains.accepts, f.recordConnection)
 	f.directory = newDirectory(f)
 	f.requestLog = newRequestLogger(f.log, f.meter)
 	f.peers = newPeers(f)
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -63,6 +63,7 @@
 	saturatedReplicas    tally.Gauge
 	limitedReplicas      tally.Gauge
 	quarantinedRequests  tally.Gauge
+	drainedZones         tally.Gauge
 }
 
 func newMeter() *meter {
@@ -98,6 +99,7 @@
 		saturatedReplicas:    s.Gauge("replicas_with_full_slots"),
 		limitedReplicas:      s.Gauge("replicas_limited"),
 		quarantinedRequests:  s.Gauge("requests_quarantined"),
+		drainedZones:         s.Gauge("zones_drained"),
 	}
 }
 
--- a/internal/transport/forwarder/preconnector.go
+++ b/internal/transport/forwarder/preconnector.go
@@ -64,7 +64,7 @@
 		Address: replica.Address,
 		Zone:    replica.Zone,
 	}
-	if p.forwarder.exchanger.IsConnected(target) {
+	if !p.forwarder.drains.accepts(target) || p.forwarder.exchanger.IsConnected(target) {
 		return
 	}
 	select {
@@ -146,6 +146,9 @@
 }
 
 func (p *preconnector) connectReplica(target exchanger.Target) {
+	if !p.forwarder.drains.accepts(target) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, connectTimeout)
 	defer cancel()
 	if err := p.forwarder.exchanger.Preconnect(ctx, target); err != nil {
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -68,6 +68,14 @@
 			}
 			continue
 		}
+		if !r.forwarder.drains.accepts(target) {
+			r.parts <- &wire.RelayPart{
+				Number:  item.GetNumber(),
+				Outcome: uint32(scatterer.OutcomeUnsent),
+				Cause:   scatterer.CauseNotAccepting,
+			}
+			continue
+		}
 		if notice := r.forwarder.refusalNotice(replica); notice != nil {
 			r.parts <- &wire.RelayPart{
 				Number:  item.GetNumber(),
--- a/internal/transport/operator/status.go
+++ b/internal/transport/operator/status.go
@@ -45,6 +45,8 @@
 	Leader   string          `json:"leader"`
 	Controls []controlStatus `json:"controls"`
 	Entries  []entryStatus   `json:"entries"`
+	// DrainedZones is nil if no control instance could say which zones are drained.
+	DrainedZones []string `json:"drained-zones"`
 }
 
 func (o *Operator) runStatus(flags *flag.FlagSet, arguments []string) error {
@@ -57,6 +59,7 @@
 	if reachedCount == 0 {
 		return errors.New("no control instance answered")
 	}
+	status.addDrains()
 	if *asJSON {
 		return o.printJSON(status)
 	}
@@ -150,7 +153,7 @@
 }
 
 func (o *Operator) printStatus(s fleetStatus) error {
-	fmt.Fprintf(o.stdout, "revision %d, in force at %d of %d entry instances; leader %s\n\n", s.Revision, s.InForce, len(s.Entries), s.Leader)
+	fmt.Fprintf(o.stdout, "revision %d, in force at %d of %d entry instances; leader %s\n%s\n\n", s.Revision, s.InForce, len(s.Entries), s.Leader, s.drainsLine())
 	table := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "CONTROL\tADDRESS\tROLE\tTERM\tREVISION\tCOMMIT\tAPPLIED")
 	for _, c := range s.Controls {
