--- a/internal/transport/forwarder/drains_test.go
+++ b/internal/transport/forwarder/drains_test.go
@@ -61,6 +61,10 @@
 	for _, c := range cases {
 		rf := newRelayFixture(t)
 		c.drain(rf)
+		// A replica that is announced during the drain, and one that was queued for a connection before.
+		rf.addReplica(t, "another", "another-late")
+		_, queued := rf.far.findReplica("shard-0-0")
+		rf.far.preconnector.connectReplica(queued)
 		d := rf.serve(t)
 		if d.Kind != scatterer.Refused || d.Reason != c.reason || d.RetryAfter <= 0 {
 			t.Errorf("%s: decision %+v, want refused with reason %q", c.name, d, c.reason)
--- a/internal/transport/forwarder/preconnector.go
+++ b/internal/transport/forwarder/preconnector.go
@@ -64,7 +64,7 @@
 		Address: replica.Address,
 		Zone:    replica.Zone,
 	}
-	if !p.forwarder.drains.accepts(target) || p.forwarder.exchanger.IsConnected(target) {
+	if p.forwarder.exchanger.IsConnected(target) {
 		return
 	}
 	select {
