Limit the requests at cold replicas over the whole fleet

A replica that has just started bears few requests a second and crashes above them, and entry instances sent it its full share at once.

Each instance paces its attempts at a cold replica by an equal share of the service's rate. The permits of all instances lie on a grid of the wall clock, each instance in a place of its own by the list of instances, since pacers that start at random exceed the limit by chance: in a test of 80 instances at 2 to 60 requests a second, permits in one place instead of even places exceed it. Unused permits last for half of the overage. The replicas of one zone have their permits at the same time, so that a query over many shards finds them together. The number of instances is taken from confirmed responses only and decreases after two minutes.

After the warm-up the limit doubles three times in 6 s. A relay takes a permit of its own or leaves the attempt unsent.

Each mechanism switched off fails a test of this change.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -34,6 +34,8 @@
 	BornMs int64
 	// Lost is set if no control instance is in contact with the replica; it is a last resort.
 	Lost bool
+	// ColdUntil is when the replica is warm by its heartbeats; the zero time if they do not say that it was cold.
+	ColdUntil time.Time
 }
 
 // ReplicaState is a replica with the state that this instance has observed.
@@ -50,6 +52,9 @@
 	leavingSince time.Time
 	// pausedUntil is when the pause ends that the replica has asked for.
 	pausedUntil time.Time
+	// coldUntil is when the replica is warm by its responses, and coldPacer is nil unless it is cold or was until recently.
+	coldUntil time.Time
+	coldPacer *limiter.AlignedPacer
 }
 
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
@@ -77,6 +82,8 @@
 	instances int
 	// drainedZones holds the availability zones to whose replicas nothing is sent.
 	drainedZones map[string]bool
+	coldPolicy   ColdPolicy
+	coldShare    coldShare
 }
 
 // New returns a balancer without replicas for an instance in the availability zone.
@@ -88,6 +95,9 @@
 		replicasByID: map[string]*ReplicaState{},
 		latencies:    map[string]*latencyWindow{},
 		instances:    1,
+		coldShare: coldShare{
+			instances: 1,
+		},
 	}
 }
 
@@ -177,7 +187,7 @@
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
 	for _, candidate := range s.replicas {
-		if !b.isEligible(now, candidate) || candidate.nextSend(now).After(now) || !accept(candidate) {
+		if !b.isEligible(now, candidate) || b.nextSend(now, candidate).After(now) || !accept(candidate) {
 			continue
 		}
 		cost := b.cost(now, s, candidate)
@@ -245,6 +255,7 @@
 	if r.pacer != nil {
 		r.pacer.Take(now)
 	}
+	b.takeColdPermit(now, r)
 	r.startTimes = append(r.startTimes, now)
 }
 
--- a/internal/coordination/balancer/eligibility.go
+++ b/internal/coordination/balancer/eligibility.go
@@ -51,7 +51,7 @@
 		if !b.isEligible(now, r) {
 			continue
 		}
-		if candidate := r.nextSend(now); !found || candidate.Before(next) {
+		if candidate := b.nextSend(now, r); !found || candidate.Before(next) {
 			next, found = candidate, true
 		}
 	}
--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -14,6 +14,8 @@
 	IsLeaving bool
 	// RetryAfter is how long the replica accepts no request from this instance, after it has rejected one.
 	RetryAfter time.Duration
+	// ColdFor is how much longer the replica is cold; 0 if it does not say that it is.
+	ColdFor time.Duration
 }
 
 // leavingGrace is how long a replica that is leaving remains a last resort. It accepts work for a few seconds.
@@ -27,6 +29,9 @@
 	if until := now.Add(notice.RetryAfter); until.After(r.pausedUntil) {
 		r.pausedUntil = until
 	}
+	if notice.ColdFor > 0 {
+		r.coldUntil = now.Add(notice.ColdFor)
+	}
 	switch {
 	case !notice.RateLimit.IsStated:
 		r.pacer = nil
@@ -42,6 +47,7 @@
 	notice := Notice{
 		IsLeaving:  !r.leavingSince.IsZero(),
 		RetryAfter: max(0, r.pausedUntil.Sub(now)),
+		ColdFor:    max(0, r.statedColdEnd().Sub(now)),
 	}
 	if r.pacer != nil {
 		notice.RateLimit = r.pacer.Limit()
--- a/internal/coordination/limiter/instance_count.go
+++ b/internal/coordination/limiter/instance_count.go
@@ -20,13 +20,21 @@
 	confirmedAt time.Time
 	maxLower    int
 	isAssumed   bool
+	// decreaseDelay is how long a larger count stays in effect after it was last reported.
+	decreaseDelay time.Duration
 }
 
 // NewInstanceCount returns a count that is assumed until one is reported.
 func NewInstanceCount(assumed int) *InstanceCount {
+	return NewSlowInstanceCount(assumed, decreaseDelay)
+}
+
+// NewSlowInstanceCount returns a count that is assumed until one is reported, and decreases only after the delay.
+func NewSlowInstanceCount(assumed int, delay time.Duration) *InstanceCount {
 	return &InstanceCount{
-		count:     assumed,
-		isAssumed: true,
+		count:         assumed,
+		isAssumed:     true,
+		decreaseDelay: delay,
 	}
 }
 
@@ -52,7 +60,7 @@
 		c.maxLower = 0
 	default:
 		c.maxLower = max(c.maxLower, count)
-		if now.Sub(c.confirmedAt) >= decreaseDelay {
+		if now.Sub(c.confirmedAt) >= c.decreaseDelay {
 			c.count = c.maxLower
 			c.confirmedAt = now
 			c.maxLower = 0
--- a/internal/coordination/scatterer/availability.go
+++ b/internal/coordination/scatterer/availability.go
@@ -30,21 +30,30 @@
 
 // refuseUnavailable refuses a request of which nothing was sent.
 func (j *Job) refuseUnavailable(reason Reason) {
-	d := Decision{
+	j.setDecision(Decision{
 		Kind:       Refused,
 		Reason:     reason,
-		RetryAfter: RetryAfterFailure,
+		RetryAfter: retryAfterUnavailable(reason),
+	})
+}
+
+// explainUnsent sets why nothing of the request was sent after attempts had been made, and when the next try makes sense. By then replicas may have been drained, or may have told through a relay that they accept no request now.
+func (j *Job) explainUnsent(now time.Time, d *Decision) {
+	d.Reason = ReasonNoReplica
+	if reason := j.unavailability(now); reason != ReasonNone {
+		d.Reason = reason
+		d.RetryAfter = retryAfterUnavailable(reason)
+		return
 	}
-	if reason == ReasonZoneDrained {
-		d.RetryAfter = retryAfterDrain
+	if wait := j.acceptDelay(now); wait > 0 {
+		d.Reason = ReasonLimited
+		d.RetryAfter = max(wait, retryAfterOverload)
 	}
-	j.setDecision(d)
 }
 
-// unsentReason returns why nothing of the request was sent after attempts had been made.
-func (j *Job) unsentReason(now time.Time) Reason {
-	if reason := j.unavailability(now); reason != ReasonNone {
-		return reason
+func retryAfterUnavailable(reason Reason) time.Duration {
+	if reason == ReasonZoneDrained {
+		return retryAfterDrain
 	}
-	return ReasonNoReplica
+	return RetryAfterFailure
 }
--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -104,7 +104,7 @@
 		d.RetryAfter = max(j.acceptDelay(now), retryAfterOverload)
 	case !mayHaveRun:
 		d.Kind = Refused
-		d.Reason = j.unsentReason(now)
+		j.explainUnsent(now, &d)
 	case reason == ReasonDeadline:
 		d.Kind = Expired
 		d.Reason = ReasonDeadline
--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -52,7 +52,8 @@
 		existing.GetService() != announcement.GetService() ||
 		existing.GetAddress() != announcement.GetAddress() ||
 		existing.GetZone() != announcement.GetZone() ||
-		existing.GetSlots() != announcement.GetSlots()
+		existing.GetSlots() != announcement.GetSlots() ||
+		isColdUpdate(announcement, existing)
 }
 
 // Enroll applies the announcement committed at a journal index and reports whether it changed the table.
@@ -62,6 +63,7 @@
 	}
 	record := proto.CloneOf(announcement)
 	record.Index = index
+	e.keepColdEnd(record)
 	e.markHolderLeft(record)
 	e.put(record)
 	return true
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -74,6 +74,7 @@
 	// drainRevision is the configuration revision at which drainedZones were read.
 	drainRevision uint64
 	drainedZones  []string
+	journalClock  journalClock
 	followers     *followers
 	heartbeats    *heartbeats
 	server        *listener.Server
@@ -387,6 +388,7 @@
 	c.updateLeadership()
 	c.updateMembers()
 	c.logDrains()
+	c.journalTime(time.Now())
 	if c.machine.Role() != journaler.Leader {
 		c.failWaiters(errLeadershipLost)
 	}
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"pimentogate.example/pimentogate/internal/state/applier"
+	"pimentogate.example/pimentogate/internal/state/enroller"
 	"pimentogate.example/pimentogate/internal/state/journaler"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
@@ -186,7 +187,7 @@
 	c.heartbeats.record(now, replica.GetId())
 	isUpdate := false
 	err := c.runInLoop(ctx, func(time.Time) {
-		isUpdate = c.state.Enroller.IsUpdate(replica)
+		isUpdate = c.state.Enroller.IsUpdate(enroller.WithColdEnd(replica, c.journalTime(time.Now())))
 	})
 	if err != nil || !isUpdate {
 		return err
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -222,6 +222,7 @@
 
 func (d *directory) apply(response *wire.FollowResponse) {
 	d.forwarder.drains.apply(response.GetDrains())
+	d.forwarder.coldShare.update(time.Now(), response)
 	d.applyRoster(response)
 	count := d.instanceCount.Update(time.Now(), int(response.GetFollowers()))
 	if d.instanceCount.IsKnown() {
@@ -308,6 +309,8 @@
 			Slots:   int(record.GetSlots()),
 			BornMs:  record.GetBornMs(),
 			Lost:    record.GetState() == wire.ReplicaState_REPLICA_STATE_LOST,
+
+			ColdUntil: d.forwarder.coldShare.localTime(record.GetColdUntilMs()),
 		})
 	default:
 		d.forwarder.removeReplica(record.GetId())
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -61,6 +61,7 @@
 
 	directory    *directory
 	drains       *drains
+	coldShare    *coldShare
 	callers      *callerServer
 	readiness    *listener.Server
 	metrics      *listener.Server
@@ -104,6 +105,7 @@
 	}
 	f.balancer.SetInstances(f.entryInstances)
 	f.drains = newDrains(f)
+	f.coldShare = newColdShare(f)
 	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.drains.accepts, f.recordConnection)
 	f.directory = newDirectory(f)
 	f.requestLog = newRequestLogger(f.log, f.meter)
@@ -184,6 +186,7 @@
 	f.settings = settings
 	f.policies.CallerAllowance = time.Duration(settings.CallerAllowanceMs) * time.Millisecond
 	f.updateRetryLimits()
+	f.updateColdPolicy()
 	f.mutex.Unlock()
 	f.directory.addControlInstances(checker.ReplacePort(settings.ControlSeeds, settings.ControlPeers))
 }
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -65,6 +65,7 @@
 	m.attemptsInFlight.Update(float64(load.AttemptsInFlight))
 	m.saturatedReplicas.Update(float64(load.SaturatedReplicas))
 	m.limitedReplicas.Update(float64(load.LimitedReplicas))
+	m.coldReplicas.Update(float64(f.balancer.ColdCount(now)))
 	m.quarantinedRequests.Update(float64(f.screener.QuarantinedCount(now)))
 	m.minRetryBudget.Update(f.minRetryBudget(now))
 }
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -64,6 +64,7 @@
 	limitedReplicas      tally.Gauge
 	quarantinedRequests  tally.Gauge
 	drainedZones         tally.Gauge
+	coldReplicas         tally.Gauge
 }
 
 func newMeter() *meter {
@@ -100,6 +101,7 @@
 		limitedReplicas:      s.Gauge("replicas_limited"),
 		quarantinedRequests:  s.Gauge("requests_quarantined"),
 		drainedZones:         s.Gauge("zones_drained"),
+		coldReplicas:         s.Gauge("replicas_cold"),
 	}
 }
 
--- a/internal/transport/forwarder/notices.go
+++ b/internal/transport/forwarder/notices.go
@@ -24,12 +24,12 @@
 	f.logNotice(now, r, before)
 }
 
-// refusalNotice returns what the replica has said of itself if it accepts no requests from this instance, and nil if it does.
+// refusalNotice returns what the replica has said of itself if this instance may not send it a peer's attempt now, and nil if it may. An attempt at a cold replica takes a permit of this instance.
 func (f *Forwarder) refusalNotice(r *balancer.ReplicaState) *balancer.Notice {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
-	if r.Accepts(now) {
+	if r.Accepts(now) && f.balancer.TryRelay(now, r) {
 		return nil
 	}
 	notice := r.Notice(now)
@@ -45,6 +45,9 @@
 	if notice.RetryAfter > before.RetryAfter {
 		f.log.Info("replica paused", "replica", r.ID, "service", r.Service, "retry-after-ms", notice.RetryAfter.Milliseconds())
 	}
+	if notice.ColdFor > 0 && before.ColdFor == 0 {
+		f.log.Info("replica is cold", "replica", r.ID, "service", r.Service, "for-ms", notice.ColdFor.Milliseconds())
+	}
 	limit, limitBefore := notice.RateLimit, before.RateLimit
 	if limit != limitBefore {
 		f.log.Info("replica rate limit changed", "replica", r.ID, "service", r.Service, "limited", limit.IsStated, "per-second", limit.PerSecond,
@@ -69,6 +72,7 @@
 	message := &wire.ReplicaNotice{
 		Leaving:      notice.IsLeaving,
 		RetryAfterUs: uint64(notice.RetryAfter.Microseconds()),
+		ColdMs:       uint32(notice.ColdFor.Milliseconds()),
 	}
 	if notice.RateLimit.IsStated {
 		message.RateLimit = &notice.RateLimit.PerSecond
@@ -87,5 +91,6 @@
 		},
 		IsLeaving:  message.GetLeaving(),
 		RetryAfter: time.Duration(message.GetRetryAfterUs()) * time.Microsecond,
+		ColdFor:    time.Duration(message.GetColdMs()) * time.Millisecond,
 	}
 }
--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -38,7 +38,7 @@
 			deadline: a.Deadline,
 			isFirst:  a.Kind == scatterer.AttemptFirst,
 		}
-		if r.canRelay(key, a.Service, delegates) {
+		if r.canRelay(key, a.Service, delegates) && !f.sendsCold(now, a.Replica) {
 			groups[key] = append(groups[key], a)
 		} else {
 			direct = append(direct, a)
