Keep requests within the home regions of route and organisation

Route and organisation could name home regions, which nothing observed.

The choice of a replica leaves out those outside the home regions of both, for first attempts, retries and hedges alike, and a diversion, which carries the body, asks peers in home regions only. A zone without a region is in none. Requests without a candidate are refused at once with outside-home-regions.

--- a/internal/coordination/balancer/cold_test.go
+++ b/internal/coordination/balancer/cold_test.go
@@ -99,11 +99,11 @@
 func TestColdRefusalNamesNextPermit(t *testing.T) {
 	b := newColdBalancer(4, start)
 	r := b.Find("r0")
-	now, ok := b.NextSend(start, "shard")
+	now, ok := b.NextSend(start, "shard", acceptAny)
 	if !ok || !b.TryRelay(now, r) || b.TryRelay(now, r) || b.Pick(now, "shard", acceptAny) != nil {
 		t.Fatal("no permit, or more than one at a time")
 	}
-	if next, _ := b.NextSend(now, "shard"); next.Sub(now) != 250*time.Millisecond {
+	if next, _ := b.NextSend(now, "shard", acceptAny); next.Sub(now) != 250*time.Millisecond {
 		t.Errorf("the next permit comes after %v, want 250ms", next.Sub(now))
 	}
 }
--- a/internal/coordination/balancer/eligibility.go
+++ b/internal/coordination/balancer/eligibility.go
@@ -17,14 +17,21 @@
 
 // ReplicaCount returns how many replicas the service has, except those that have left or are in drained availability zones.
 func (b *Balancer) ReplicaCount(now time.Time, service string) int {
-	return b.countReplicas(service, func(r *ReplicaState) bool { return b.isEligible(now, r) })
+	return b.CountAmong(now, service, acceptAll)
 }
 
-// HasDrainedReplica reports whether replicas of the service are not used only because their availability zones are drained.
-func (b *Balancer) HasDrainedReplica(now time.Time, service string) bool {
-	return b.countReplicas(service, func(r *ReplicaState) bool { return b.drainedZones[r.Zone] && !r.hasLeft(now) }) > 0
+// CountAmong is like ReplicaCount, for the replicas for which accept returns true.
+func (b *Balancer) CountAmong(now time.Time, service string, accept func(*ReplicaState) bool) int {
+	return b.countReplicas(service, func(r *ReplicaState) bool { return b.isEligible(now, r) && accept(r) })
 }
 
+// HasDrainedReplica reports whether replicas for which accept returns true are not used only because their availability zones are drained.
+func (b *Balancer) HasDrainedReplica(now time.Time, service string, accept func(*ReplicaState) bool) bool {
+	return b.countReplicas(service, func(r *ReplicaState) bool { return b.drainedZones[r.Zone] && !r.hasLeft(now) && accept(r) }) > 0
+}
+
+func acceptAll(*ReplicaState) bool { return true }
+
 func (b *Balancer) countReplicas(service string, accept func(*ReplicaState) bool) int {
 	s := b.services[service]
 	if s == nil {
@@ -39,8 +46,8 @@
 	return count
 }
 
-// NextSend returns when a replica of the service accepts an attempt, which is now or earlier if one does already. It returns false if the service has no eligible replica.
-func (b *Balancer) NextSend(now time.Time, service string) (time.Time, bool) {
+// NextSend returns when a replica of the service for which accept returns true takes an attempt, which is now or earlier if one does already. It returns false if there is no eligible one.
+func (b *Balancer) NextSend(now time.Time, service string, accept func(*ReplicaState) bool) (time.Time, bool) {
 	s := b.services[service]
 	if s == nil {
 		return time.Time{}, false
@@ -48,7 +55,7 @@
 	var next time.Time
 	found := false
 	for _, r := range s.replicas {
-		if !b.isEligible(now, r) {
+		if !b.isEligible(now, r) || !accept(r) {
 			continue
 		}
 		if candidate := b.nextSend(now, r); !found || candidate.Before(next) {
--- a/internal/coordination/diverter/diverter.go
+++ b/internal/coordination/diverter/diverter.go
@@ -28,6 +28,8 @@
 type Peer struct {
 	Instance string
 	Address  string
+	// Zone is the peer's availability zone.
+	Zone string
 
 	failures     int
 	backoffUntil time.Time
@@ -136,6 +138,7 @@
 		if i := slices.IndexFunc(d.peers, func(p *Peer) bool { return p.Instance == listed.Instance && p.Address == listed.Address }); i >= 0 {
 			known = d.peers[i]
 		}
+		known.Zone = listed.Zone
 		next = append(next, known)
 	}
 	d.peers = next
@@ -147,12 +150,17 @@
 
 // Choose returns the next healthy peer that is not in avoid, or nil if there is none. Successive calls return the peers in turn, which spreads the load. Once enough peers have answered, or another one did not, only those that have answered take turns, since the others may be isolated as well.
 func (d *Diverter) Choose(now time.Time, avoid []*Peer) *Peer {
+	return d.ChooseAmong(now, avoid, func(*Peer) bool { return true })
+}
+
+// ChooseAmong is like Choose, for the peers for which accept returns true.
+func (d *Diverter) ChooseAmong(now time.Time, avoid []*Peer, accept func(*Peer) bool) *Peer {
 	var healthy, proven []int
 	for i := range d.peers {
 		// The search starts behind the peer that was chosen last.
 		index := (d.nextPeer + 1 + i) % len(d.peers)
 		p := d.peers[index]
-		if now.Before(p.backoffUntil) || slices.Contains(avoid, p) {
+		if now.Before(p.backoffUntil) || slices.Contains(avoid, p) || !accept(p) {
 			continue
 		}
 		healthy = append(healthy, index)
--- a/internal/coordination/scatterer/availability.go
+++ b/internal/coordination/scatterer/availability.go
@@ -9,13 +9,16 @@
 
 // unavailability returns why too few shards have a replica that attempts may be sent to, or ReasonNone if enough have.
 func (j *Job) unavailability(now time.Time) Reason {
-	reachable, drained := 0, 0
+	reachable, drained, foreign := 0, 0, 0
+	b := j.policies.Balancer
 	for _, s := range j.shards {
 		switch {
-		case j.policies.Balancer.ReplicaCount(now, s.service) > 0:
+		case b.CountAmong(now, s.service, j.allowsReplica) > 0:
 			reachable++
-		case j.policies.Balancer.HasDrainedReplica(now, s.service):
+		case b.HasDrainedReplica(now, s.service, j.allowsReplica):
 			drained++
+		case b.ReplicaCount(now, s.service) > 0:
+			foreign++
 		}
 	}
 	switch required := j.requiredCount(); {
@@ -23,6 +26,8 @@
 		return ReasonNone
 	case reachable+drained >= required:
 		return ReasonZoneDrained
+	case reachable+drained+foreign >= required:
+		return ReasonHomeRegions
 	default:
 		return ReasonNoReplica
 	}
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -59,6 +59,8 @@
 	hasGivenUp bool
 	// screening guards the replicas against a request that may crash them.
 	screening screening
+	// isRegional is set if the request may go to some regions only.
+	isRegional bool
 }
 
 // New returns a job that has sent no attempt yet.
@@ -71,6 +73,7 @@
 		request:      request,
 		policies:     policies,
 		class:        r.Name,
+		isRegional:   request.IsRegional(),
 		hardDeadline: earlier(request.Deadline, request.ArrivedAt.Add(r.Timeout)).Add(-responseMargin),
 	}
 	allowance := policies.CallerAllowance + policies.Overrun.AllowanceFor(r.TargetLatency)
@@ -178,7 +181,7 @@
 	admitted := 0
 	for _, s := range j.shards {
 		s.skipped = s.skipped || !j.policies.Shedder.Admit(now, j.traffic(s.service))
-		if !s.skipped && j.policies.Balancer.ReplicaCount(now, s.service) > 0 {
+		if !s.skipped && j.policies.Balancer.CountAmong(now, s.service, j.allowsReplica) > 0 {
 			admitted++
 		}
 	}
@@ -190,7 +193,7 @@
 	var sendTimes []time.Time
 	accepting := 0
 	for _, s := range j.shards {
-		next, ok := j.policies.Balancer.NextSend(now, s.service)
+		next, ok := j.policies.Balancer.NextSend(now, s.service, j.allowsReplica)
 		switch {
 		case !ok || s.skipped:
 		case next.After(now):
--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -74,7 +74,7 @@
 func (j *Job) placeAttempt(now time.Time, i int, s *shard, kind AttemptKind) *Attempt {
 	replica := j.policies.Balancer.Pick(now, s.service, func(r *balancer.ReplicaState) bool {
 		// A hedge that would queue behind this instance's own attempts gains nothing.
-		return !slices.Contains(s.triedReplicas, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
+		return j.allowsReplica(r) && !slices.Contains(s.triedReplicas, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
 	})
 	if replica == nil {
 		return nil
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -155,6 +155,7 @@
 	ReasonIsolated      Reason = "instance-isolated"
 	ReasonPeerFailed    Reason = "peer-failed"
 	ReasonZoneDrained   Reason = "zone-drained"
+	ReasonHomeRegions   Reason = "outside-home-regions"
 )
 
 // DecisionKind says what kind of answer the caller gets.
@@ -212,4 +213,6 @@
 	CallerAllowance time.Duration
 	// Overrun estimates the time that this instance itself needs beyond that.
 	Overrun *Overrun
+	// ZoneRegions holds the region of each availability zone.
+	ZoneRegions map[string]string
 }
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -62,7 +62,10 @@
 	f := v.forwarder
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	peer := f.diverter.Choose(time.Now(), v.tried)
+	// A diverted request carries its body, which may go to home regions only.
+	peer := f.diverter.ChooseAmong(time.Now(), v.tried, func(p *diverter.Peer) bool {
+		return v.request.AllowsRegion(f.policies.ZoneRegions[p.Zone])
+	})
 	if peer != nil {
 		v.tried = append(v.tried, peer)
 	}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -102,6 +102,7 @@
 		RetryBudget:     f.retryBudget,
 		CallerAllowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
 		Overrun:         &scatterer.Overrun{},
+		ZoneRegions:     settings.ZoneRegions,
 	}
 	f.balancer.SetInstances(f.entryInstances)
 	f.drains = newDrains(f)
@@ -185,6 +186,7 @@
 	f.mutex.Lock()
 	f.settings = settings
 	f.policies.CallerAllowance = time.Duration(settings.CallerAllowanceMs) * time.Millisecond
+	f.policies.ZoneRegions = settings.ZoneRegions
 	f.updateRetryLimits()
 	f.updateColdPolicy()
 	f.mutex.Unlock()
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -113,6 +113,7 @@
 		divertPeers = append(divertPeers, diverter.Peer{
 			Instance: entry.GetInstance(),
 			Address:  entry.GetAddress(),
+			Zone:     entry.GetZone(),
 		})
 	}
 	p.zoneInstances.Store(int64(p.zoneInstanceCount.Update(time.Now(), zoneInstances)))
