--- a/internal/transport/operator/drains.go
+++ b/internal/transport/operator/drains.go
@@ -22,6 +22,10 @@
 	if err != nil {
 		return nil
 	}
+	if response.GetConfig() == nil {
+		// The first message has no configuration while nothing has been configured.
+		return &wire.Config{}
+	}
 	return response.GetConfig()
 }
 
