Drain zones through an older leader by a confirmed plan

A leader of the previous release answers the call as unimplemented, so a drain could not be acknowledged during an upgrade. The control instance that has the command then confirms the change at the leader as a plan, which all builds apply.

Tests of this change pass.

--- a/internal/transport/controller/drain_zone_test.go
+++ b/internal/transport/controller/drain_zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/state/applier"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
@@ -70,3 +72,29 @@
 		cl.awaitDrains(i, "zone-x")
 	}
 }
+
+// TestDrainAtOlderLeader checks that a drain is stored and distributed while the leader is of an older build, which does not know the command and answers it as unimplemented.
+func TestDrainAtOlderLeader(t *testing.T) {
+	cl := newCluster(t, 3)
+	cl.awaitVoters(0)
+	leader := cl.awaitLeader()
+	follower := cl.controls[(leader+1)%len(cl.controls)]
+	olderLeader := func(_ context.Context, _ wireconnect.FleetServiceClient) (applier.Result, error) {
+		return applier.Result{}, connect.NewError(connect.CodeUnimplemented, errors.New("unknown call"))
+	}
+	for _, drained := range []bool{true, true, false, true} {
+		request := &wire.DrainZoneRequest{
+			Zone:    "zone-x",
+			Drained: drained,
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		_, err := follower.execute(ctx, drainZoneCommand(request), follower.drainCall(request, olderLeader))
+		cancel()
+		check(t, err)
+		if drained {
+			cl.awaitDrains(leader, "zone-x")
+		} else {
+			cl.awaitDrains(leader)
+		}
+	}
+}
