Take replicas for cold after the end of their zone's drain

A replica may turn cold while its zone is drained, and an entry instance learns so only by its next heartbeat, by when it could have crashed under the full load. Services with a limit now treat the replicas of the zone as cold for 3 s after the end of a drain, with the slow start after it.

Tests of balancer, scatterer, docs, controller, forwarder and platform pass, whole packages.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -82,8 +82,10 @@
 	instances int
 	// drainedZones holds the availability zones to whose replicas nothing is sent.
 	drainedZones map[string]bool
-	coldPolicy   ColdPolicy
-	coldShare    coldShare
+	// drainEnds is when the drains of availability zones ended.
+	drainEnds  map[string]time.Time
+	coldPolicy ColdPolicy
+	coldShare  coldShare
 }
 
 // New returns a balancer without replicas for an instance in the availability zone.
@@ -95,6 +97,7 @@
 		replicasByID: map[string]*ReplicaState{},
 		latencies:    map[string]*latencyWindow{},
 		instances:    1,
+		drainEnds:    map[string]time.Time{},
 		coldShare: coldShare{
 			instances: 1,
 		},
--- a/internal/coordination/balancer/cold.go
+++ b/internal/coordination/balancer/cold.go
@@ -12,6 +12,8 @@
 	// rampSteps is in how many steps the limit of a replica that has become warm is doubled before it ends, and rampStep how long each lasts.
 	rampSteps = 3
 	rampStep  = 2 * time.Second
+	// drainCaution is how long replicas are taken for cold after the end of a drain of their zone, in which they may have turned cold. It is longer than it takes until a heartbeat that says so has arrived.
+	drainCaution = 3 * time.Second
 )
 
 // ColdLimit is how a service's cold replicas are limited.
@@ -124,7 +126,11 @@
 	if !(limit.PerSecond > 0) {
 		return 0
 	}
-	warmFor := now.Sub(r.coldEnd(now, limit.Duration))
+	end := r.coldEnd(now, limit.Duration)
+	if drainEnd, ok := b.drainEnds[r.Zone]; ok && end.Before(drainEnd.Add(drainCaution)) {
+		end = drainEnd.Add(drainCaution)
+	}
+	warmFor := now.Sub(end)
 	if warmFor < 0 {
 		return limit.PerSecond
 	}
--- a/internal/coordination/balancer/cold_test.go
+++ b/internal/coordination/balancer/cold_test.go
@@ -67,6 +67,14 @@
 		{"response without a word of it", 4, start.Add(-time.Second), func(b *Balancer) {
 			b.RecordNotice(start, b.Find("r0"), Notice{})
 		}, 5},
+		{"drained until now", 4, longAgo, func(b *Balancer) {
+			b.SetDrainedZones(start.Add(-time.Hour), []string{""})
+			b.SetDrainedZones(start, nil)
+		}, 5},
+		{"drained until now, without a limit", 0, longAgo, func(b *Balancer) {
+			b.SetDrainedZones(start.Add(-time.Hour), []string{""})
+			b.SetDrainedZones(start, nil)
+		}, unlimited},
 		{"shared by 4", 4, start.Add(-time.Second), func(b *Balancer) { b.SetColdShare(4, 0.5) }, 2},
 	}
 	for _, c := range cases {
--- a/internal/coordination/balancer/eligibility.go
+++ b/internal/coordination/balancer/eligibility.go
@@ -3,11 +3,17 @@
 import "time"
 
 // SetDrainedZones sets the availability zones to whose replicas nothing is sent.
-func (b *Balancer) SetDrainedZones(zones []string) {
+func (b *Balancer) SetDrainedZones(now time.Time, zones []string) {
+	before := b.drainedZones
 	b.drainedZones = make(map[string]bool, len(zones))
 	for _, zone := range zones {
 		b.drainedZones[zone] = true
 	}
+	for zone := range before {
+		if !b.drainedZones[zone] {
+			b.drainEnds[zone] = now
+		}
+	}
 }
 
 // isEligible reports whether attempts may be sent to the replica, leaving aside rate limits and pauses.
--- a/internal/coordination/scatterer/drain_test.go
+++ b/internal/coordination/scatterer/drain_test.go
@@ -8,7 +8,7 @@
 // TestDrainedZoneGetsNoAttempts guards against first attempts, retries and hedges at replicas whose availability zone was drained before or during the request, and against a refusal with a wrong reason or without a retry time.
 func TestDrainedZoneGetsNoAttempts(t *testing.T) {
 	p := newPolicies(10, shardNames(4)...)
-	p.Balancer.SetDrainedZones([]string{"a"})
+	p.Balancer.SetDrainedZones(start, []string{"a"})
 	j := newJob(shardedRoute(4, 1), p)
 	attempts := j.Start(start)
 	if len(attempts) != 4 {
@@ -29,7 +29,7 @@
 	for _, a := range attempts[1:] {
 		j.HandleOutcome(start.Add(2*time.Millisecond), a, replied(200))
 	}
-	p.Balancer.SetDrainedZones([]string{"b"})
+	p.Balancer.SetDrainedZones(start, []string{"b"})
 	if hedges, _ := tickUntilSent(j, 80*time.Millisecond); len(hedges) > 0 {
 		t.Errorf("hedge at %s", hedges[0].Replica.ID)
 	}
@@ -37,7 +37,7 @@
 		t.Errorf("decision %+v, want the answer of attempts that were in flight", j.Decision())
 	}
 
-	p.Balancer.SetDrainedZones([]string{"a", "b"})
+	p.Balancer.SetDrainedZones(start, []string{"a", "b"})
 	j = newJob(shardedRoute(4, 0.5), p)
 	if attempts := j.Start(start); len(attempts) > 0 {
 		t.Errorf("%d attempts while all zones are drained", len(attempts))
--- a/internal/coordination/scatterer/regions_test.go
+++ b/internal/coordination/scatterer/regions_test.go
@@ -37,7 +37,7 @@
 		if c.name == "zone of an unknown region" {
 			p.ZoneRegions = nil
 		}
-		p.Balancer.SetDrainedZones(c.drained)
+		p.Balancer.SetDrainedZones(start, c.drained)
 		route := shardedRoute(4, 1)
 		route.HomeRegions = c.route
 		j := New(Request{
--- a/internal/transport/forwarder/drains.go
+++ b/internal/transport/forwarder/drains.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -35,7 +36,7 @@
 	}
 	f := d.forwarder
 	f.mutex.Lock()
-	f.balancer.SetDrainedZones(d.current())
+	f.balancer.SetDrainedZones(time.Now(), d.current())
 	f.mutex.Unlock()
 	f.meter.drainedZones.Update(float64(len(list.GetZones())))
 	f.log.Info("drained zones changed", "zones", list.GetZones(), "before", before, "revision", list.GetRevision())
