Leave permits for cold replicas valid for 250 ms at least

With the default settings, which allow no overage, a permit was valid for 20 ms only, and an instance that receives a request every second or two would have used few of them. The rate of permits is lowered by as much as the longer lifetime adds. The test of 80 instances covers this case.

Tests of limiter, balancer and scatterer pass, those of drains and cold replicas in controller.

--- a/internal/coordination/balancer/cold.go
+++ b/internal/coordination/balancer/cold.go
@@ -89,7 +89,7 @@
 		return time.Time{}
 	}
 	share := limiter.AlignedShare{
-		PerSecond: rate,
+		PerSecond: limiter.PermitRate(rate, b.coldPolicy.Overage, b.coldPolicy.Tolerance),
 		Instances: b.coldShare.instances,
 		Phase:     b.coldPhase(r.Zone),
 		Lifetime:  limiter.PermitLifetime(rate, b.coldPolicy.Overage, b.coldPolicy.Tolerance),
--- a/internal/coordination/limiter/aligned_pacer.go
+++ b/internal/coordination/limiter/aligned_pacer.go
@@ -5,8 +5,8 @@
 )
 
 const (
-	// minAlignedLifetime is the shortest time for which a permit of an aligned pacer remains valid.
-	minAlignedLifetime = 20 * time.Millisecond
+	// minAlignedLifetime is the shortest time for which a permit of an aligned pacer remains valid. A shorter one would leave most permits unused, since an instance receives a request every second or two.
+	minAlignedLifetime = 250 * time.Millisecond
 	// maxAlignedLifetime is the longest.
 	maxAlignedLifetime = 2 * time.Second
 	// lifetimeShare is the share of the overage that unused permits may take up. The rest absorbs the overlap of shares while instances disagree on their number.
@@ -26,9 +26,18 @@
 
 // PermitLifetime returns how long unused permits may remain valid if the requests of all instances in any second may exceed the rate to the factor overage and by tolerance requests. In a second, permits of that second and of the lifetime before it can be used.
 func PermitLifetime(perSecond, overage, tolerance float64) time.Duration {
+	return min(max(allowedLifetime(perSecond, overage, tolerance), minAlignedLifetime), maxAlignedLifetime)
+}
+
+// PermitRate returns the rate of permits, which is below perSecond as far as PermitLifetime is longer than the overage allows.
+func PermitRate(perSecond, overage, tolerance float64) float64 {
+	excess := max(0, minAlignedLifetime-allowedLifetime(perSecond, overage, tolerance))
+	return perSecond / (1 + excess.Seconds())
+}
+
+func allowedLifetime(perSecond, overage, tolerance float64) time.Duration {
 	headroom := overage - 1 + tolerance/max(perSecond, minRate)
-	lifetime := time.Duration(lifetimeShare * headroom * float64(time.Second))
-	return min(max(lifetime, minAlignedLifetime), maxAlignedLifetime)
+	return time.Duration(lifetimeShare * headroom * float64(time.Second))
 }
 
 // AlignedPacer spaces the requests of one entry instance to one replica like Pacer, but places the permits of all instances evenly by the wall clock, if each has a phase of its own. All instances together then send no more in any second than the rate for a second and a lifetime, without the random bursts of pacers that start independently. It is not safe for concurrent use.
--- a/internal/transport/controller/drain_zone.go
+++ b/internal/transport/controller/drain_zone.go
@@ -96,10 +96,10 @@
 
 // logDrains logs the drained availability zones if an applied entry or snapshot has changed them. It must be called in the event loop.
 func (c *Controller) logDrains() {
-	drains := c.state.Catalog.ZoneDrains()
-	if drains.GetRevision() == c.drainRevision {
+	if c.state.Catalog.Config().GetRevision() == c.drainRevision {
 		return
 	}
+	drains := c.state.Catalog.ZoneDrains()
 	c.drainRevision = drains.GetRevision()
 	if slices.Equal(drains.GetZones(), c.drainedZones) {
 		return
