--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -35,6 +35,8 @@
 	BornMs int64
 	// Lost is set if no control instance is in contact with the replica; it is a last resort.
 	Lost bool
+	// ColdUntil is when the replica is warm by its heartbeats; the zero time if they do not say that it was cold.
+	ColdUntil time.Time
 }
 
 // ReplicaState is a replica with the state that this instance has observed.
@@ -61,6 +63,9 @@
 	leavingSince time.Time
 	// pausedUntil is when the pause ends that the replica has asked for.
 	pausedUntil time.Time
+	// coldUntil is when the replica is warm by its responses, and coldPacer is nil unless it is cold or was until recently.
+	coldUntil time.Time
+	coldPacer *limiter.AlignedPacer
 }
 
 // Latency returns the moving average of the replica's latency, 0 before the first sample.
@@ -99,6 +104,12 @@
 	sortSpace []time.Duration
 	// instances is the number of entry instances that share the rate limits of replicas.
 	instances int
+	// drainedZones holds the availability zones to whose replicas nothing is sent.
+	drainedZones map[string]bool
+	// drainEnds is when the drains of availability zones ended.
+	drainEnds  map[string]time.Time
+	coldPolicy ColdPolicy
+	coldShare  coldShare
 }
 
 // New returns a balancer without replicas for an instance in the availability zone.
@@ -113,6 +124,10 @@
 		instances:    1,
 
 		replicasByHash: map[uint64]*ReplicaState{},
+		drainEnds:      map[string]time.Time{},
+		coldShare: coldShare{
+			instances: 1,
+		},
 	}
 }
 
@@ -161,51 +176,17 @@
 // Find returns the replica with the ID, or nil.
 func (b *Balancer) Find(id string) *ReplicaState { return b.replicasByID[id] }
 
-// Replicas returns all replicas that are not lost.
+// Replicas returns all replicas that are not lost, except those in drained availability zones.
 func (b *Balancer) Replicas() []Replica {
 	var replicas []Replica
 	for _, r := range b.replicasByID {
-		if !r.Lost {
+		if !r.Lost && !b.drainedZones[r.Zone] {
 			replicas = append(replicas, r.Replica)
 		}
 	}
 	return replicas
 }
 
-// ReplicaCount returns how many replicas the service has, except those that have left.
-func (b *Balancer) ReplicaCount(now time.Time, service string) int {
-	s := b.services[service]
-	if s == nil {
-		return 0
-	}
-	count := 0
-	for _, r := range s.replicas {
-		if !r.hasLeft(now) {
-			count++
-		}
-	}
-	return count
-}
-
-// NextSend returns when a replica of the service accepts an attempt, which is now or earlier if one does already. It returns false if the service has no replica, or only such that have left.
-func (b *Balancer) NextSend(now time.Time, service string) (time.Time, bool) {
-	s := b.services[service]
-	if s == nil {
-		return time.Time{}, false
-	}
-	var next time.Time
-	found := false
-	for _, r := range s.replicas {
-		if r.hasLeft(now) {
-			continue
-		}
-		if candidate := r.nextSend(now); !found || candidate.Before(next) {
-			next, found = candidate, true
-		}
-	}
-	return next, found
-}
-
 // Load is the load that this instance puts on all replicas.
 type Load struct {
 	// AttemptsInFlight is the number of attempts in flight, and SaturatedReplicas is the number of replicas on which they occupy every slot.
@@ -250,7 +231,7 @@
 	var bestCost time.Duration
 	explore := b.random.Float64() < exploreProbability
 	for _, candidate := range s.replicas {
-		if candidate.hasLeft(now) || candidate.nextSend(now).After(now) || !accept(candidate) {
+		if !b.isEligible(now, candidate) || b.nextSend(now, candidate).After(now) || !accept(candidate) {
 			continue
 		}
 		cost := b.cost(now, s, candidate, demand.Work)
@@ -298,6 +279,7 @@
 	if r.pacer != nil {
 		r.pacer.Take(now)
 	}
+	b.takeColdPermit(now, r)
 	r.startTimes = append(r.startTimes, now)
 }
 
--- a/internal/coordination/balancer/notice.go
+++ b/internal/coordination/balancer/notice.go
@@ -16,6 +16,8 @@
 	RetryAfter time.Duration
 	// Load is the load that the replica reports, which may be false or out of date.
 	Load ReplicaLoad
+	// ColdFor is how much longer the replica is cold; 0 if it does not say that it is.
+	ColdFor time.Duration
 }
 
 // leavingGrace is how long a replica that is leaving remains a last resort. It accepts work for a few seconds.
@@ -30,6 +32,9 @@
 		r.pausedUntil = until
 	}
 	r.load.record(now, notice.Load)
+	if notice.ColdFor > 0 {
+		r.coldUntil = now.Add(notice.ColdFor)
+	}
 	switch {
 	case !notice.RateLimit.IsStated:
 		r.pacer = nil
@@ -45,6 +50,7 @@
 	notice := Notice{
 		IsLeaving:  !r.leavingSince.IsZero(),
 		RetryAfter: max(0, r.pausedUntil.Sub(now)),
+		ColdFor:    max(0, r.statedColdEnd().Sub(now)),
 	}
 	if r.pacer != nil {
 		notice.RateLimit = r.pacer.Limit()
--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -107,7 +107,7 @@
 		d.RetryAfter = max(j.acceptDelay(now), retryAfterOverload)
 	case !mayHaveRun:
 		d.Kind = Refused
-		d.Reason = ReasonNoReplica
+		j.explainUnsent(now, &d)
 	case reason == ReasonDeadline:
 		d.Kind = Expired
 		d.Reason = ReasonDeadline
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -158,6 +158,8 @@
 	// ReasonOverAllotment and ReasonAllotmentUnknown refuse a request before it is sent, because its organisation has used its allotment or because that is not known.
 	ReasonOverAllotment    Reason = "over-allotment"
 	ReasonAllotmentUnknown Reason = "allotment-unknown"
+	ReasonZoneDrained      Reason = "zone-drained"
+	ReasonHomeRegions      Reason = "outside-home-regions"
 )
 
 // DecisionKind says what kind of answer the caller gets.
@@ -215,4 +217,6 @@
 	CallerAllowance time.Duration
 	// Overrun estimates the time that this instance itself needs beyond that.
 	Overrun *Overrun
+	// ZoneRegions holds the region of each availability zone.
+	ZoneRegions map[string]string
 }
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -90,6 +90,10 @@
 	client       *http.Client
 	stop         chan struct{}
 	done         chan struct{}
+	// drainRevision is the configuration revision at which drainedZones were read.
+	drainRevision uint64
+	drainedZones  []string
+	journalClock  journalClock
 }
 
 // waiter receives the result of a proposed entry once it is applied. The term tells whether the applied entry is the proposed one.
@@ -423,6 +427,8 @@
 func (c *Controller) notifySubscribers() {
 	c.updateLeadership()
 	c.updateMembers()
+	c.logDrains()
+	c.journalTime(time.Now())
 	if c.machine.Role() != journaler.Leader {
 		c.failWaiters(errLeadershipLost)
 	}
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -10,6 +10,7 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/admitter"
 	"pimentogate.example/pimentogate/internal/state/applier"
+	"pimentogate.example/pimentogate/internal/state/enroller"
 	"pimentogate.example/pimentogate/internal/state/journaler"
 	"pimentogate.example/pimentogate/internal/transport/packer"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -184,6 +185,7 @@
 		response.TimeMs = time.Now().UnixMilli()
 		response.Members = c.machine.Members()
 		response.Confirmed = c.machine.InContact(now)
+		response.Drains = c.state.Catalog.ZoneDrains()
 	})
 	return response, err
 }
@@ -225,7 +227,7 @@
 	c.heartbeats.record(now, replica.GetId())
 	isUpdate := false
 	err := c.runInLoop(ctx, func(time.Time) {
-		isUpdate = c.state.Enroller.IsUpdate(replica)
+		isUpdate = c.state.Enroller.IsUpdate(enroller.WithColdEnd(replica, c.journalTime(time.Now())))
 	})
 	if err != nil || !isUpdate {
 		return err
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -35,6 +35,7 @@
 	tablesBuilt   tally.Counter
 	// countedIndex is the journal index as of which readyReplicas was counted.
 	countedIndex uint64
+	drainedZones tally.Gauge
 }
 
 func newMeter(scope tally.Scope) *meter {
@@ -57,6 +58,7 @@
 		statesSent:    scope.Counter("states_sent"),
 		statesRefused: scope.Counter("states_refused"),
 		tablesBuilt:   scope.Counter("state_tables_built"),
+		drainedZones:  scope.Gauge("zones_drained"),
 	}
 }
 
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -60,6 +60,8 @@
 	entryInstances int
 
 	directory    *directory
+	drains       *drains
+	coldShare    *coldShare
 	callers      *callerServer
 	readiness    *listener.Server
 	metrics      *listener.Server
@@ -101,9 +103,12 @@
 		RetryBudget:     f.retryBudget,
 		CallerAllowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
 		Overrun:         &scatterer.Overrun{},
+		ZoneRegions:     settings.ZoneRegions,
 	}
 	f.balancer.SetInstances(f.entryInstances)
-	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.recordConnection)
+	f.drains = newDrains(f)
+	f.coldShare = newColdShare(f)
+	f.exchanger = exchanger.New(protocol.Codec, f.connectionLimit, f.drains.accepts, f.recordConnection)
 	f.directory = newDirectory(f)
 	f.requestLog = newRequestLogger(f.log, f.meter)
 	f.peers = newPeers(f)
@@ -184,7 +189,9 @@
 	f.mutex.Lock()
 	f.settings = settings
 	f.policies.CallerAllowance = time.Duration(settings.CallerAllowanceMs) * time.Millisecond
+	f.policies.ZoneRegions = settings.ZoneRegions
 	f.updateRetryLimits()
+	f.updateColdPolicy()
 	f.mutex.Unlock()
 	f.allotments.reconfigure()
 	f.directory.addControlInstances(checker.ReplacePort(settings.ControlSeeds, settings.ControlPeers))
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -69,6 +69,8 @@
 	quarantinedRequests  tally.Gauge
 	failedShare          tally.Gauge
 	deviatingReplicas    tally.Gauge
+	drainedZones         tally.Gauge
+	coldReplicas         tally.Gauge
 }
 
 func newMeter() *meter {
@@ -109,6 +111,8 @@
 		quarantinedRequests:  s.Gauge("requests_quarantined"),
 		failedShare:          s.Gauge("attempts_failed_share"),
 		deviatingReplicas:    s.Gauge("replicas_deviating"),
+		drainedZones:         s.Gauge("zones_drained"),
+		coldReplicas:         s.Gauge("replicas_cold"),
 	}
 }
 
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -113,6 +113,7 @@
 		divertPeers = append(divertPeers, diverter.Peer{
 			Instance: entry.GetInstance(),
 			Address:  entry.GetAddress(),
+			Zone:     entry.GetZone(),
 		})
 	}
 	if isComplete {
