Earn a part of the burst at an even rate

Keepers now earn up to 0.15 of the slack of a window beyond the rate, and hold as much more. The parts of stand-ins and of cut keepers shrink, so that all parts together stay within the slack.

--- a/internal/coordination/allotter/limit.go
+++ b/internal/coordination/allotter/limit.go
@@ -5,15 +5,17 @@
 const (
 	// keeperRanks is how many instances of an availability zone may keep an organisation's tokens: the keeper and its stand-ins. All of them may grant start tokens within one window, so the number bounds their sum.
 	keeperRanks = 3
-	// The four shares below divide the slack that leases leave, so that the allotment holds while all of these faults come at once.
+	// The five shares below divide the slack that leases leave, so that the allotment holds while all of these faults come at once.
 	// startShare is the part that all keepers and stand-ins together may start with.
 	startShare = 0.45
 	// standInShare is the part that all stand-ins together may earn in a window.
-	standInShare = 0.2
+	standInShare = 0.1
 	// cutShare is the part that all keepers that reach no lender may earn together in a window beyond their zones' rates.
-	cutShare = 0.25
+	cutShare = 0.15
 	// extraBurstShare is the part by which the buckets may exceed the burst. Dividing the burst by zones loses up to a zone's part when one zone has all the requests.
-	extraBurstShare = 0.1
+	extraBurstShare = 0.15
+	// steadyShare is the part, the burst at most, that is earned in a window beyond the rate. An organisation may send its burst in every window, but one that sends all the time never finds a full bucket.
+	steadyShare = 0.15
 	// minCapacityShare is the largest part of the slack that is used to let each zone's bucket hold one token.
 	minCapacityShare = 0.25
 )
@@ -54,13 +56,14 @@
 func (t *Terms) shareOf(l *Limit) share {
 	zones := float64(max(1, t.Zones))
 	slack := t.slack(l)
+	window := max(t.Window, time.Millisecond).Seconds()
+	rate := l.Rate + min(l.Burst, steadyShare*slack)/window
 	s := share{
-		rate:     l.Rate / zones,
+		rate:     rate / zones,
 		capacity: max((l.Burst+extraBurstShare*slack)/zones, min(1, minCapacityShare*slack/zones)),
 	}
-	window := max(t.Window, time.Millisecond).Seconds()
 	s.standInRate = min(s.rate, standInShare*slack/window/(zones*(keeperRanks-1)))
-	s.cutRate = min(l.Rate, s.rate+cutShare*slack/window/zones)
+	s.cutRate = min(rate, s.rate+cutShare*slack/window/zones)
 	s.start = min(s.capacity, startShare*slack/(zones*keeperRanks))
 	return s
 }
