Quarantine requests only after confirmed crashes

Cause: any connection that a replica's side ends counted as a crash, so that closed, reset and truncated answers quarantined harmless requests for ten minutes at every entry instance.

Change: a lost connection is a suspicion. A verifier dials the replica without sending anything; a refusal confirms the crash if another replica of the availability zone accepts a connection.

--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -66,6 +66,7 @@
 	m.saturatedReplicas.Update(float64(load.SaturatedReplicas))
 	m.limitedReplicas.Update(float64(load.LimitedReplicas))
 	m.quarantinedRequests.Update(float64(f.screener.QuarantinedCount(now)))
+	m.suspectedRequests.Update(float64(f.screener.SuspicionCount()))
 	m.minRetryBudget.Update(f.minRetryBudget(now))
 }
 
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/transport/reporter"
 )
 
@@ -63,6 +64,7 @@
 	saturatedReplicas    tally.Gauge
 	limitedReplicas      tally.Gauge
 	quarantinedRequests  tally.Gauge
+	suspectedRequests    tally.Gauge
 }
 
 func newMeter() *meter {
@@ -98,6 +100,7 @@
 		saturatedReplicas:    s.Gauge("replicas_with_full_slots"),
 		limitedReplicas:      s.Gauge("replicas_limited"),
 		quarantinedRequests:  s.Gauge("requests_quarantined"),
+		suspectedRequests:    s.Gauge("requests_suspected"),
 	}
 }
 
@@ -142,6 +145,17 @@
 	counter.Inc(1)
 }
 
+// recordCrashCheck counts a dial of a replica that has ended a connection.
+func (m *meter) recordCrashCheck(result screener.DialResult, confirmed bool) {
+	name := result.String()
+	if confirmed {
+		name = "crashed"
+	}
+	m.reporter.Scope.Tagged(map[string]string{
+		"result": name,
+	}).Counter("crash_checks").Inc(1)
+}
+
 func (m *meter) recordAttempt(a *scatterer.Attempt, outcome scatterer.OutcomeKind) {
 	key := attemptKey{
 		service: a.Service,
