Refuse queries by organisation and priority while replicas are congested

Cause: the shedder leaves out single shards by chance, whoever causes the load, so that one organisation at several times its usual load raises the rejections of all others.

Change: coordination/apportioner refuses whole queries before anything is sent. Organisations above their usual use are throttled towards it first, then the least urgent priorities are shed; each keeps at least 0.35 of its queries, and each refusal has a time to come back in the order of urgency and arrival. Apportioner.Observe takes the use that the allotments learn from their keepers. Requests without an organisation are not concerned.

--- /dev/null
+++ b/internal/coordination/apportioner/doc.go
@@ -0,0 +1,2 @@
+// Package apportioner decides which queries are refused while the replicas are congested, so that the organisations that cause the load bear it. It handles one organisation that sends several times its usual load, bursts of one class, and the loss of a third of the replicas, among some 80 organisations at 80 to 300 entry instances that each receive a query every second or two.
+package apportioner
--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -153,6 +153,14 @@
 		})
 		return nil
 	}
+	if wait := j.apportion(now); wait > 0 {
+		j.setDecision(Decision{
+			Kind:       Refused,
+			Reason:     ReasonOverShare,
+			RetryAfter: wait,
+		})
+		return nil
+	}
 	if !j.shedShards(now) {
 		j.setDecision(Decision{
 			Kind:       Refused,
@@ -419,7 +427,9 @@
 	}
 	// An answer in the last quarter of the available time counts as congestion, since the next one may be too late.
 	usefulUntil := a.StartedAt.Add(available * 3 / 4)
-	j.policies.Shedder.Observe(now, j.traffic(a.Service), outcome.Kind == OutcomeRejected || now.After(usefulUntil))
+	isCongested := outcome.Kind == OutcomeRejected || now.After(usefulUntil)
+	j.policies.Shedder.Observe(now, j.traffic(a.Service), isCongested)
+	j.observeForApportioner(now, isCongested)
 }
 
 // CauseCancelled is the cause of an attempt that this instance cancelled. Its replica counts as slow, not as failed.
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/apportioner"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
@@ -144,6 +145,7 @@
 	ReasonNone          Reason = ""
 	ReasonNoReplica     Reason = "no-replica"
 	ReasonCongested     Reason = "shards-congested"
+	ReasonOverShare     Reason = "over-fair-share"
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonLimited       Reason = "replicas-limited"
 	ReasonRejected      Reason = "rejected-by-replicas"
@@ -205,6 +207,8 @@
 	Balancer *balancer.Balancer
 	Shedder  *shedder.Shedder
 	Screener *screener.Screener
+	// Apportioner refuses queries of organisations while replicas are congested; nil if it is not used.
+	Apportioner *apportioner.Apportioner
 	// RetryBudget returns the budget for the retries and hedges of a service.
 	RetryBudget func(service string) *limiter.Window
 	// CallerAllowance is the time reserved for the network between the caller and this instance, in both directions.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"pimentogate.example/pimentogate/internal/coordination/advertiser"
+	"pimentogate.example/pimentogate/internal/coordination/apportioner"
 	"pimentogate.example/pimentogate/internal/coordination/balancer"
 	"pimentogate.example/pimentogate/internal/coordination/diverter"
 	"pimentogate.example/pimentogate/internal/coordination/limiter"
@@ -97,6 +98,7 @@
 		Balancer:        f.balancer,
 		Screener:        f.screener,
 		Shedder:         shedder.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Apportioner:     apportioner.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryBudget:     f.retryBudget,
 		CallerAllowance: time.Duration(settings.CallerAllowanceMs) * time.Millisecond,
 		Overrun:         &scatterer.Overrun{},
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -61,6 +61,7 @@
 	defer f.mutex.Unlock()
 	m.entryInstances.Update(float64(f.entryInstances))
 	m.minAdmittedShare.Update(f.policies.Shedder.MinAdmittedShare(now))
+	m.shareLevel.Update(f.policies.Apportioner.Level(now))
 	load := f.balancer.Load()
 	m.attemptsInFlight.Update(float64(load.AttemptsInFlight))
 	m.saturatedReplicas.Update(float64(load.SaturatedReplicas))
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -52,6 +52,7 @@
 	openConnections      tally.Gauge
 	minRetryBudget       tally.Gauge
 	minAdmittedShare     tally.Gauge
+	shareLevel           tally.Gauge
 	configVersion        tally.Gauge
 	configAge            tally.Gauge
 	tableIndex           tally.Gauge
@@ -88,6 +89,7 @@
 		openConnections:      s.Gauge("connections_open"),
 		minRetryBudget:       s.Gauge("repeat_budget_left_least"),
 		minAdmittedShare:     s.Gauge("shed_share_least"),
+		shareLevel:           s.Gauge("fair_share_level"),
 		configVersion:        s.Gauge("configuration_version"),
 		configAge:            s.Gauge("configuration_age_seconds"),
 		tableIndex:           s.Gauge("replica_table_index"),
