Confirm crashes of replicas that were replaced before their attempts ended

Cause: control may tell of a newer incarnation before the attempts to the earlier one have ended here. Its record was then not seen as a confirmation, and a dial was not made, so that the suspicion expired.

Change: the verifier looks at the current incarnation before it dials.

Measured: the new case of TestCrashVerifier fails without the check (quarantined for 1 s, want minutes).

--- a/internal/transport/forwarder/crash_verifier.go
+++ b/internal/transport/forwarder/crash_verifier.go
@@ -79,8 +79,8 @@
 		case <-v.ctx.Done():
 			return
 		}
-		for checks := v.take(); len(checks) > 0 && v.ctx.Err() == nil; checks = v.take() {
-			v.verify(checks)
+		for v.hasUnchecked() && v.ctx.Err() == nil {
+			v.verify(v.take())
 		}
 	}
 }
@@ -90,7 +90,13 @@
 	<-v.done
 }
 
-// take returns the checks that are due.
+func (v *crashVerifier) hasUnchecked() bool {
+	v.forwarder.mutex.Lock()
+	defer v.forwarder.mutex.Unlock()
+	return v.forwarder.screener.HasUnchecked()
+}
+
+// take returns the checks that are due. The crash of an incarnation that was replaced before its attempts ended is confirmed without one.
 func (v *crashVerifier) take() []*crashCheck {
 	f := v.forwarder
 	f.mutex.Lock()
@@ -98,6 +104,10 @@
 	f.mutex.Unlock()
 	checks := make([]*crashCheck, 0, len(incarnations))
 	for _, incarnation := range incarnations {
+		if f.directory.isReplaced(incarnation) {
+			f.recordReplaced(incarnation)
+			continue
+		}
 		address, zone := f.directory.locate(incarnation)
 		checks = append(checks, v.newCheck(incarnation, address, zone))
 	}
@@ -228,6 +238,13 @@
 	return record.GetAddress(), record.GetZone()
 }
 
+// isReplaced reports whether control has told of a newer incarnation of the replica.
+func (d *directory) isReplaced(incarnation screener.Incarnation) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.replicas[incarnation.Replica].GetBornMs() > incarnation.BornMs
+}
+
 // bystanders returns the addresses of some replicas of the availability zone that have lost no connection.
 func (d *directory) bystanders(zone string) []string {
 	f := d.forwarder
@@ -263,6 +280,15 @@
 	return d.lastAppliedAt
 }
 
+// recordReplaced records that a newer incarnation has taken the place of one.
+func (f *Forwarder) recordReplaced(incarnation screener.Incarnation) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.screener.RecordEnd(time.Now(), incarnation)
+	f.crashes.verifier.summary.confirmed++
+	f.meter.recordCrashCheck(screener.DialUnanswered, true)
+}
+
 // updateIncarnation has the record of a replica confirm or refute crashes.
 func (f *Forwarder) updateIncarnation(record *wire.Replica) {
 	f.mutex.Lock()
--- a/internal/transport/forwarder/crash_verifier_test.go
+++ b/internal/transport/forwarder/crash_verifier_test.go
@@ -16,19 +16,22 @@
 	cases := []struct {
 		name string
 		// isUp is set if the replicas listen, and isPathUp if the others of their availability zone do.
-		isUp, isPathUp   bool
+		isUp, isPathUp bool
+		// bornMs is the incarnation that control tells of; the attempts were sent to 1.
+		bornMs           int64
 		minWait, maxWait time.Duration
 	}{
-		{"processes ended", false, true, time.Minute, time.Hour},
-		{"processes run", true, true, 0, 0},
-		{"connections to the zone are refused on the way", false, false, 0, 0},
+		{"processes ended", false, true, 1, time.Minute, time.Hour},
+		{"processes run", true, true, 1, 0, 0},
+		{"processes had been replaced before their attempts ended", true, true, 2, time.Minute, time.Hour},
+		{"connections to the zone are refused on the way", false, false, 1, 0, 0},
 	}
 	for _, c := range cases {
 		f := newTestForwarder(t, "entry", "a")
 		for i := range replicas {
-			f.directory.enrollForTest(fmt.Sprint(i), newDialTarget(t, c.isUp))
+			f.directory.enrollForTest(fmt.Sprint(i), newDialTarget(t, c.isUp), c.bornMs)
 		}
-		f.directory.enrollForTest("bystander", newDialTarget(t, c.isPathUp))
+		f.directory.enrollForTest("bystander", newDialTarget(t, c.isPathUp), 1)
 		f.mutex.Lock()
 		for i := range replicas {
 			f.screener.RecordLoss(time.Now(), screener.Attempt{
@@ -57,14 +60,14 @@
 }
 
 // enrollForTest adds a replica that is ready.
-func (d *directory) enrollForTest(id, address string) {
+func (d *directory) enrollForTest(id, address string, bornMs int64) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.replicas[id] = &wire.Replica{
 		Id:      id,
 		Address: address,
 		Zone:    "a",
-		BornMs:  1,
+		BornMs:  bornMs,
 		State:   wire.ReplicaState_REPLICA_STATE_READY,
 	}
 }
