--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/transport/reporter"
 )
 
@@ -55,6 +56,7 @@
 	openConnections      tally.Gauge
 	minRetryBudget       tally.Gauge
 	minAdmittedShare     tally.Gauge
+	shareLevel           tally.Gauge
 	configVersion        tally.Gauge
 	configAge            tally.Gauge
 	tableIndex           tally.Gauge
@@ -71,6 +73,7 @@
 	deviatingReplicas    tally.Gauge
 	drainedZones         tally.Gauge
 	coldReplicas         tally.Gauge
+	suspectedRequests    tally.Gauge
 }
 
 func newMeter() *meter {
@@ -97,6 +100,7 @@
 		openConnections:      s.Gauge("connections_open"),
 		minRetryBudget:       s.Gauge("repeat_budget_left_least"),
 		minAdmittedShare:     s.Gauge("shed_share_least"),
+		shareLevel:           s.Gauge("fair_share_level"),
 		configVersion:        s.Gauge("configuration_version"),
 		configAge:            s.Gauge("configuration_age_seconds"),
 		tableIndex:           s.Gauge("replica_table_index"),
@@ -113,6 +117,7 @@
 		deviatingReplicas:    s.Gauge("replicas_deviating"),
 		drainedZones:         s.Gauge("zones_drained"),
 		coldReplicas:         s.Gauge("replicas_cold"),
+		suspectedRequests:    s.Gauge("requests_suspected"),
 	}
 }
 
@@ -170,6 +175,17 @@
 	counter.Inc(1)
 }
 
+// recordCrashCheck counts a dial of a replica that has ended a connection.
+func (m *meter) recordCrashCheck(result screener.DialResult, confirmed bool) {
+	name := result.String()
+	if confirmed {
+		name = "crashed"
+	}
+	m.reporter.Scope.Tagged(map[string]string{
+		"result": name,
+	}).Counter("crash_checks").Inc(1)
+}
+
 func (m *meter) recordAttempt(a *scatterer.Attempt, outcome scatterer.OutcomeKind) {
 	key := attemptKey{
 		service: a.Service,
