Tell the fair shares what organisations use

The keepers of allotments report an organisation's recent and usual use, which the apportioner needs to tell one above its usual use from the others.

--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -119,6 +119,7 @@
 	f.crashes = newCrashReporter(f)
 	f.isolation = newIsolationMonitor(f)
 	f.allotments = newAllotments(f)
+	f.SetUseListener(f.recordUse)
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
@@ -183,6 +184,13 @@
 	f.log.Info("request unauthorized", "request", requestID, "route", route, "has-key", hasKey)
 }
 
+// recordUse tells the fair shares what an organisation uses in this availability zone.
+func (f *Forwarder) recordUse(organisation string, usedPerSecond, usualPerSecond float64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.policies.Apportioner.Observe(time.Now(), organisation, usedPerSecond, usualPerSecond)
+}
+
 // RoutingTable returns the current routing table, or nil if there is none yet.
 func (f *Forwarder) RoutingTable() *matcher.RoutingTable { return f.routingTable.Load() }
 
