--- a/internal/coordination/scatterer/placement.go
+++ b/internal/coordination/scatterer/placement.go
@@ -48,7 +48,7 @@
 func (j *Job) hedgeShard(now time.Time, i int, s *shard) []*Attempt {
 	straggler := s.pending[0]
 	straggler.hedgeAt = now.Add(recheckInterval)
-	if !j.canHedge(s) || j.isCongested(now, s) || !j.hasStragglers() || !j.isStraggler(now, straggler) {
+	if !j.canHedge(s) || j.isCongested(now, s) || !j.hasStragglers() || !j.deservesHedge(now, s, straggler) {
 		return nil
 	}
 	a := j.placeAttempt(now, i, s, AttemptHedge)
@@ -76,7 +76,7 @@
 		// A hedge that would queue behind this instance's own attempts gains nothing.
 		return j.allowsReplica(r) && !slices.Contains(s.triedReplicas, r.ID) && (kind != AttemptHedge || r.HasFreeSlot())
 	})
-	if replica == nil || kind == AttemptHedge && !j.repliesInTime(now, replica) {
+	if replica == nil || kind == AttemptHedge && j.isBudgetShort(now, s) && !j.repliesInTime(now, replica) {
 		return nil
 	}
 	budget := j.policies.RetryBudget(s.service)
--- a/internal/coordination/scatterer/repeats.go
+++ b/internal/coordination/scatterer/repeats.go
@@ -14,8 +14,20 @@
 	fewLeftShare = 0.9
 	// scarceBudgetShare is the unused share of the retry budget below which repeats are kept for the queries that need them.
 	scarceBudgetShare = 0.34
+	// shortBudgetShare is the unused share below which only stragglers are hedged, and only where the reply is expected in time. While there is more, a hedge that may help is worth its repeat.
+	shortBudgetShare = 0.5
 )
 
+// deservesHedge reports whether the attempt at the shard is hedged as far as the retry budget goes.
+func (j *Job) deservesHedge(now time.Time, s *shard, a *Attempt) bool {
+	return !j.isBudgetShort(now, s) || j.isStraggler(now, a)
+}
+
+// isBudgetShort reports whether hedges are limited to those that are likely to help.
+func (j *Job) isBudgetShort(now time.Time, s *shard) bool {
+	return j.policies.RetryBudget(s.service).RemainingShare(now) < shortBudgetShare
+}
+
 // isStraggler reports whether the attempt takes long in relation to those of the same request at other shards. A request that is costly everywhere has no stragglers, whatever the usual latency is.
 func (j *Job) isStraggler(now time.Time, a *Attempt) bool {
 	if !j.request.Route.IsSharded() || float64(j.answeredCount()) >= fewLeftShare*float64(len(j.shards)) {
--- a/internal/coordination/shedder/shedder.go
+++ b/internal/coordination/shedder/shedder.go
@@ -60,6 +60,11 @@
 	return share
 }
 
+// IsShedding reports whether a part of the traffic is shed.
+func (s *Shedder) IsShedding(now time.Time, traffic Traffic) bool {
+	return s.AdmittedShare(now, traffic) < shedThreshold
+}
+
 // AdmittedShare returns the admitted share of the traffic, which congested answers reduce; it never exceeds the share of a more urgent class of the same service. Admit still sends everything while the share is at least shedThreshold.
 func (s *Shedder) AdmittedShare(now time.Time, traffic Traffic) float64 {
 	share := 1.0
