--- a/internal/coordination/allotter/keeper.go
+++ b/internal/coordination/allotter/keeper.go
@@ -33,7 +33,7 @@
 	Missing float64
 	// RetryAfter is when the missing token is expected.
 	RetryAfter time.Duration
-	// IsUnknown is set if the keeper can't know whether the organisation is over its allotment, because it is a stand-in that reaches no lender.
+	// IsUnknown is set if the keeper can't know whether the organisation is over its allotment, because it is a backup that reaches no lender.
 	IsUnknown bool
 }
 
@@ -69,7 +69,7 @@
 	isCut bool
 }
 
-// Keeper holds the tokens of the organisations for which an instance is the keeper or a stand-in of its availability zone. It is not safe for concurrent use.
+// Keeper holds the tokens of the organisations for which an instance is the keeper or a backup of its availability zone. It is not safe for concurrent use.
 type Keeper struct {
 	roster   *Roster
 	terms    Terms
@@ -248,7 +248,7 @@
 func (k *Keeper) rateOf(now time.Time, b *bucket) float64 {
 	switch {
 	case !k.isFirst(now, b):
-		return b.share.standInRate
+		return b.share.backupRate
 	case b.isCut:
 		return b.share.cutRate
 	default:
@@ -326,7 +326,7 @@
 	return at.Sub(now)
 }
 
-// Lenders returns whom to ask for missing tokens: the keepers of the other zones, for a stand-in the keeper of its own, which other instances may only have found slow, and for a new keeper the previous one. A lender that had nothing is left out until it expects a token.
+// Lenders returns whom to ask for missing tokens: the keepers of the other zones, for a backup the keeper of its own, which other instances may only have found slow, and for a new keeper the previous one. A lender that had nothing is left out until it expects a token.
 func (k *Keeper) Lenders(now time.Time, organisation string) []Member {
 	b := k.buckets[organisation]
 	if b == nil {
--- a/internal/coordination/allotter/limit.go
+++ b/internal/coordination/allotter/limit.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// keeperRanks is how many instances of an availability zone may keep an organisation's tokens: the keeper and its stand-ins. All of them may grant start tokens within one window, so the number bounds their sum.
+	// keeperRanks is how many instances of an availability zone may keep an organisation's tokens: the keeper and its backups. All of them may grant start tokens within one window, so the number bounds their sum.
 	keeperRanks = 3
 	// The five shares below divide the slack that leases leave, so that the allotment holds while all of these faults come at once.
-	// startShare is the part that all keepers and stand-ins together may start with.
+	// startShare is the part that all keepers and backups together may start with.
 	startShare = 0.45
-	// standInShare is the part that all stand-ins together may earn in a window.
-	standInShare = 0.1
+	// backupShare is the part that all backups together may earn in a window.
+	backupShare = 0.1
 	// cutShare is the part that all keepers that reach no lender may earn together in a window beyond their zones' rates.
 	cutShare = 0.15
 	// extraBurstShare is the part by which the buckets may exceed the burst. Dividing the burst by zones loses up to a zone's part when one zone has all the requests.
@@ -44,11 +44,11 @@
 
 // share is the part of an allotment that one keeper has.
 type share struct {
-	// rate and capacity belong to the zone's keeper. standInRate and start are the safe ones of an instance that may not be the only keeper.
-	rate        float64
-	capacity    float64
-	standInRate float64
-	start       float64
+	// rate and capacity belong to the zone's keeper. backupRate and start are the safe ones of an instance that may not be the only keeper.
+	rate       float64
+	capacity   float64
+	backupRate float64
+	start      float64
 	// cutRate is the rate of a zone's keeper that reaches no lender.
 	cutRate float64
 }
@@ -62,7 +62,7 @@
 		rate:     rate / zones,
 		capacity: max((l.Burst+extraBurstShare*slack)/zones, min(1, minCapacityShare*slack/zones)),
 	}
-	s.standInRate = min(s.rate, standInShare*slack/window/(zones*(keeperRanks-1)))
+	s.backupRate = min(s.rate, backupShare*slack/window/(zones*(keeperRanks-1)))
 	s.cutRate = min(rate, s.rate+cutShare*slack/window/zones)
 	s.start = min(s.capacity, startShare*slack/(zones*keeperRanks))
 	return s
--- a/internal/coordination/allotter/roster.go
+++ b/internal/coordination/allotter/roster.go
@@ -136,7 +136,7 @@
 // Zones returns the number of availability zones with a known instance.
 func (r *Roster) Zones() int { return len(r.byZone) }
 
-// ranking holds the keeper and the stand-ins of an organisation in a zone.
+// ranking holds the keeper and the backups of an organisation in a zone.
 type ranking struct {
 	peers [keeperRanks]*peer
 	count int
--- a/internal/transport/forwarder/allotments.go
+++ b/internal/transport/forwarder/allotments.go
@@ -18,7 +18,7 @@
 const (
 	// keeperTimeout is how long a keeper may take to respond. It is half of the shortest target latency, and covers a keeper that borrows.
 	keeperTimeout = 25 * time.Millisecond
-	// askLimit is how long after the first call no further stand-in is asked, so that a request with a target latency of 50 ms is refused within it while several of them hang.
+	// askLimit is how long after the first call no further backup is asked, so that a request with a target latency of 50 ms is refused within it while several of them hang.
 	askLimit = 45 * time.Millisecond
 	// lendTimeout is how long a keeper of another availability zone may take. A round trip between zones takes 2 ms.
 	lendTimeout = 12 * time.Millisecond
@@ -286,7 +286,7 @@
 	return milliseconds(latency) * float64(max(1, len(request.Route.Shards)))
 }
 
-// ask asks the keeper of the own zone for tokens, and its stand-ins in turn if it does not respond or can't know whether there are any. It returns nil if none responds.
+// ask asks the keeper of the own zone for tokens, and its backups in turn if it does not respond or can't know whether there are any. It returns nil if none responds.
 func (a *allotments) ask(ctx context.Context, item *wire.AllotItem) *wire.AllotGrant {
 	var unknown *wire.AllotGrant
 	startedAt := time.Now()
--- a/internal/transport/forwarder/allotments_test.go
+++ b/internal/transport/forwarder/allotments_test.go
@@ -100,7 +100,7 @@
 	return 0
 }
 
-// asker returns an instance of zone a that is neither the keeper nor a stand-in.
+// asker returns an instance of zone a that is neither the keeper nor a backup.
 func (af *allotFixture) asker() *Forwarder {
 	for i := 0; i < allotInstances; i += 2 {
 		if i != af.keeper(0) && i != af.keeper(1) && i != af.keeper(2) {
@@ -180,7 +180,7 @@
 		{"ended", 1, "127.0.0.1:1", scatterer.ReasonNone, false},
 		{"hangs", 1, hanging.Addr().String(), scatterer.ReasonNone, false},
 		{"build of the last release", 1, older.URL[len("http://"):], scatterer.ReasonNone, true},
-		{"keeper and stand-ins hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown, false},
+		{"keeper and backups hang", 3, hanging.Addr().String(), scatterer.ReasonAllotmentUnknown, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/transport/forwarder/crash_verifier.go
+++ b/internal/transport/forwarder/crash_verifier.go
@@ -18,8 +18,8 @@
 	checkTimeout = 200 * time.Millisecond
 	// maxChecks is how many replicas are dialed at once.
 	maxChecks = 16
-	// maxBystanders is how many replicas are dialed that have lost no connection, to find out whether the path to their availability zone works. One of them may be down.
-	maxBystanders = 3
+	// maxUnaffected is how many replicas are dialed that have lost no connection, to find out whether the path to their availability zone works. One of them may be down.
+	maxUnaffected = 3
 )
 
 // crashVerifier finds out whether replicas that have ended a connection have crashed. It dials their addresses and sends nothing.
@@ -151,12 +151,12 @@
 
 // isPathUsable reports whether any replica of the availability zone that has lost no connection accepts one. Without such a replica nothing points to the path.
 func (v *crashVerifier) isPathUsable(zone string) bool {
-	bystanders := v.forwarder.directory.bystanders(zone)
-	if len(bystanders) == 0 {
+	unaffected := v.forwarder.directory.unaffected(zone)
+	if len(unaffected) == 0 {
 		return true
 	}
-	checks := make([]*crashCheck, 0, len(bystanders))
-	for _, address := range bystanders {
+	checks := make([]*crashCheck, 0, len(unaffected))
+	for _, address := range unaffected {
 		checks = append(checks, v.newCheck(screener.Incarnation{}, address, zone))
 	}
 	dialAll(checks)
@@ -245,8 +245,8 @@
 	return d.replicas[incarnation.Replica].GetBornMs() > incarnation.BornMs
 }
 
-// bystanders returns the addresses of some replicas of the availability zone that have lost no connection.
-func (d *directory) bystanders(zone string) []string {
+// unaffected returns the addresses of some replicas of the availability zone that have lost no connection.
+func (d *directory) unaffected(zone string) []string {
 	f := d.forwarder
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -259,7 +259,7 @@
 			continue
 		}
 		addresses = append(addresses, record.GetAddress())
-		if len(addresses) == maxBystanders {
+		if len(addresses) == maxUnaffected {
 			break
 		}
 	}
--- a/internal/transport/forwarder/crash_verifier_test.go
+++ b/internal/transport/forwarder/crash_verifier_test.go
@@ -31,7 +31,7 @@
 		for i := range replicas {
 			f.directory.enrollForTest(fmt.Sprint(i), newDialTarget(t, c.isUp), c.bornMs)
 		}
-		f.directory.enrollForTest("bystander", newDialTarget(t, c.isPathUp), 1)
+		f.directory.enrollForTest("unaffected", newDialTarget(t, c.isPathUp), 1)
 		f.mutex.Lock()
 		for i := range replicas {
 			f.screener.RecordLoss(time.Now(), screener.Attempt{
