Revert "Quarantine requests only after confirmed crashes"

Without logs no play broke it again, so the cause is not traced; suspected are the 20 ms and the dial before a crash is reported, and proofs of life.

--- a/internal/coordination/scatterer/screening.go
+++ b/internal/coordination/scatterer/screening.go
@@ -108,26 +108,19 @@
 	return attempts
 }
 
-// recordSuspicion records what the end of the attempt says of a crash of its replica.
+// recordSuspicion records whether the attempt's replica crashed or answered.
 func (j *Job) recordSuspicion(now time.Time, a *Attempt, outcome Outcome) {
 	ended := screener.Attempt{
 		Fingerprint: j.request.Fingerprint,
 		Service:     a.Service,
 		Replica:     a.Replica.ID,
 		BornMs:      a.Replica.BornMs,
-		Zone:        a.Replica.Zone,
 		Round:       a.round,
 	}
-	s := j.policies.Screener
 	switch {
 	case outcome.ConnectionLost:
-		s.RecordLoss(now, ended)
-	case outcome.Kind == OutcomeMisdirected:
-		s.RecordEnd(now, ended.Incarnation())
-	case outcome.IsResponse():
-		s.RecordResponse(now, a.StartedAt, ended.Incarnation())
-	}
-	if outcome.Kind == OutcomeReplied {
-		s.RecordAnswer(now, ended)
+		j.policies.Screener.RecordCrash(now, ended)
+	case outcome.Kind == OutcomeReplied:
+		j.policies.Screener.RecordAnswer(now, ended)
 	}
 }
--- a/internal/coordination/screener/screener.go
+++ b/internal/coordination/screener/screener.go
@@ -1,7 +1,6 @@
 package screener
 
 import (
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,12 +9,8 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-const (
-	// maxReports bounds the ends of attempts that wait to be reported; further ones are dropped.
-	maxReports = 512
-	// maxChanges bounds the changes that wait to be taken; further ones are dropped.
-	maxChanges = 512
-)
+// maxReports bounds the ends of attempts that wait to be reported; further ones are dropped.
+const maxReports = 512
 
 // Verdict says how a request may be sent.
 type Verdict struct {
@@ -31,34 +26,16 @@
 	Service     string
 	Replica     string
 	BornMs      int64
-	// Zone is the replica's availability zone.
-	Zone string
 	// Round is the result of NextRound when the attempt was sent.
 	Round uint32
 }
 
-// Incarnation returns the incarnation that the attempt was sent to.
-func (a *Attempt) Incarnation() Incarnation {
-	return Incarnation{
-		Replica: a.Replica,
-		BornMs:  a.BornMs,
-	}
-}
-
-// Incarnation is one process of a replica, from its start to its end.
-type Incarnation struct {
-	Replica string
-	BornMs  int64
-}
-
 // Report is the end of an attempt that control has to know.
 type Report struct {
 	Attempt
 
 	Crashed bool
-	// IsProofOfLife is set if the replica has responded after its supposed crash. Only the incarnation of the attempt is then set.
-	IsProofOfLife bool
-	EndedAt       time.Time
+	EndedAt time.Time
 }
 
 // Change says that the quarantine of a request has begun or ended.
@@ -75,12 +52,8 @@
 	epoch time.Time
 	// quarantined holds the requests whose quarantine was reported as a change.
 	quarantined map[uint64]bool
-	// suspicions holds the crashes that are not confirmed. They are not reported.
-	suspicions *suspicions
-	// crashed holds the incarnations whose crashes are in the table.
-	crashed *crashIndex
-	reports []Report
-	changes []Change
+	reports     []Report
+	changes     []Change
 }
 
 // New returns a screener that knows no suspect request.
@@ -89,103 +62,58 @@
 		table:       quarantiner.New(nil),
 		epoch:       now,
 		quarantined: map[uint64]bool{},
-		suspicions:  newSuspicions(),
-		crashed:     newCrashIndex(),
 	}
 }
 
 // Check returns how the request may be sent now.
 func (s *Screener) Check(now time.Time, fingerprint uint64) Verdict {
+	suspect := s.table.Find(fingerprint)
 	return Verdict{
-		IsSuspect:      quarantiner.IsSuspect(s.view(fingerprint)),
-		QuarantinedFor: s.remaining(now, fingerprint),
-	}
-}
-
-// remaining returns how much longer the request is quarantined. If that depends on crashes that are not confirmed, it is at most until the first of them expires.
-func (s *Screener) remaining(now time.Time, fingerprint uint64) time.Duration {
-	if confirmed := quarantiner.Remaining(s.table.Find(fingerprint), s.toMs(now)); confirmed > 0 {
-		return confirmed
-	}
-	if quarantiner.Remaining(s.view(fingerprint), s.toMs(now)) == 0 {
-		return 0
-	}
-	return max(0, s.suspicions.expiry(fingerprint).Sub(now))
-}
-
-// view returns the record of the request with the crashes that are not confirmed, or nil if there is neither.
-func (s *Screener) view(fingerprint uint64) *wire.SuspectRequest {
-	confirmed := s.table.Find(fingerprint)
-	pending := s.suspicions.byRequest[fingerprint]
-	if len(pending) == 0 {
-		return confirmed
-	}
-	view := &wire.SuspectRequest{
-		Fingerprint: fingerprint,
-		Crashes:     slices.Clone(confirmed.GetCrashes()),
-		LastCrashMs: confirmed.GetLastCrashMs(),
+		IsSuspect:      quarantiner.IsSuspect(suspect),
+		QuarantinedFor: quarantiner.Remaining(suspect, s.toMs(now)),
 	}
-	for _, p := range pending {
-		view.Crashes = append(view.Crashes, &wire.ReplicaCrash{
-			Service: p.Service,
-			Replica: p.Replica,
-			BornMs:  p.BornMs,
-			Round:   min(p.Round, quarantiner.NextRound(view)),
-		})
-		view.LastCrashMs = max(view.GetLastCrashMs(), s.toMs(p.EndedAt))
-	}
-	return view
 }
 
 // IsShardQuarantined reports whether the request over shards is kept from the shard.
 func (s *Screener) IsShardQuarantined(now time.Time, fingerprint uint64, service string) bool {
-	return s.remaining(now, fingerprint) > 0 && quarantiner.AffectsShard(s.view(fingerprint), service)
+	suspect := s.table.Find(fingerprint)
+	return quarantiner.Remaining(suspect, s.toMs(now)) > 0 && quarantiner.AffectsShard(suspect, service)
 }
 
 // HasCrashed reports whether replicas of the service have crashed under the request and not answered it since.
 func (s *Screener) HasCrashed(fingerprint uint64, service string) bool {
-	return quarantiner.HasCrashed(s.view(fingerprint), service)
+	return quarantiner.HasCrashed(s.table.Find(fingerprint), service)
 }
 
 // NextRound returns the round of an attempt of the request that is sent now.
 func (s *Screener) NextRound(fingerprint uint64) uint32 {
-	return quarantiner.NextRound(s.view(fingerprint))
+	return quarantiner.NextRound(s.table.Find(fingerprint))
 }
 
 // RecordCrash records that the replica crashed while it ran the attempt.
-func (s *Screener) RecordCrash(now time.Time, a Attempt) {
-	s.record(now, &Report{
-		Attempt: a,
-		Crashed: true,
-		EndedAt: now,
-	})
-}
+func (s *Screener) RecordCrash(now time.Time, a Attempt) { s.record(now, a, true) }
 
 // RecordAnswer records that the replica answered the attempt.
-func (s *Screener) RecordAnswer(now time.Time, a Attempt) {
-	s.suspicions.removeAnswered(&a)
-	if s.table.Find(a.Fingerprint) == nil {
+func (s *Screener) RecordAnswer(now time.Time, a Attempt) { s.record(now, a, false) }
+
+func (s *Screener) record(now time.Time, a Attempt, crashed bool) {
+	if !crashed && s.table.Find(a.Fingerprint) == nil {
 		// Nothing is known of the request that an answer could change.
 		return
 	}
-	s.record(now, &Report{
+	report := Report{
 		Attempt: a,
+		Crashed: crashed,
 		EndedAt: now,
-	})
-}
-
-func (s *Screener) record(now time.Time, report *Report) {
-	index := s.table.Find(report.Fingerprint).GetIndex()
+	}
+	index := s.table.Find(a.Fingerprint).GetIndex()
 	if !s.table.Report(s.toMs(now), report.ToWire(now), index) {
 		return
 	}
 	if len(s.reports) < maxReports {
-		s.reports = append(s.reports, *report)
-	}
-	if report.Crashed {
-		s.crashed.add(now, report.Incarnation())
+		s.reports = append(s.reports, report)
 	}
-	s.noteChange(now, report.Fingerprint)
+	s.noteChange(now, a.Fingerprint)
 }
 
 // Update takes over the records of control that are newer than those known; controlNowMs is the time to which their times relate.
@@ -198,14 +126,13 @@
 		suspect := proto.CloneOf(record)
 		suspect.LastCrashMs += shift
 		s.table.Put(suspect)
-		s.crashed.addAll(now, suspect)
 		s.noteChange(now, suspect.GetFingerprint())
 	}
 }
 
 // noteChange adds a change if the quarantine of the request has begun or ended.
 func (s *Screener) noteChange(now time.Time, fingerprint uint64) {
-	isQuarantined := quarantiner.Remaining(s.table.Find(fingerprint), s.toMs(now)) > 0
+	isQuarantined := s.Check(now, fingerprint).QuarantinedFor > 0
 	if isQuarantined == s.quarantined[fingerprint] {
 		return
 	}
@@ -214,9 +141,6 @@
 	} else {
 		delete(s.quarantined, fingerprint)
 	}
-	if len(s.changes) >= maxChanges {
-		return
-	}
 	s.changes = append(s.changes, Change{
 		Fingerprint:   fingerprint,
 		IsQuarantined: isQuarantined,
@@ -243,7 +167,7 @@
 func (s *Screener) QuarantinedCount(now time.Time) int {
 	count := 0
 	for fingerprint := range s.quarantined {
-		if quarantiner.Remaining(s.table.Find(fingerprint), s.toMs(now)) > 0 {
+		if s.Check(now, fingerprint).QuarantinedFor > 0 {
 			count++
 		} else {
 			delete(s.quarantined, fingerprint)
@@ -256,9 +180,6 @@
 
 // ToWire returns the report as it is sent at the given time.
 func (r *Report) ToWire(now time.Time) *wire.AttemptEnd {
-	if r.IsProofOfLife {
-		return quarantiner.NewProofOfLife(r.Replica, r.BornMs)
-	}
 	return &wire.AttemptEnd{
 		Fingerprint: r.Fingerprint,
 		Service:     r.Service,
--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -68,15 +68,11 @@
 
 // IsUpdate reports whether the end of an attempt would change the table.
 func (q *Quarantiner) IsUpdate(attempt *wire.AttemptEnd) bool {
-	suspect := q.suspects[attempt.GetFingerprint()]
-	switch {
-	case attempt.GetCrashed():
-		return !hasCrashOf(suspect, attempt)
-	case isProofOfLife(attempt):
-		return q.isRefutable(attempt)
-	default:
-		return slices.ContainsFunc(suspect.GetCrashes(), func(c *wire.ReplicaCrash) bool { return isRefuted(c, attempt) })
+	crashes := q.suspects[attempt.GetFingerprint()].GetCrashes()
+	if attempt.GetCrashed() {
+		return !slices.ContainsFunc(crashes, func(c *wire.ReplicaCrash) bool { return isSameReplica(c, attempt) })
 	}
+	return slices.ContainsFunc(crashes, func(c *wire.ReplicaCrash) bool { return isRefuted(c, attempt) })
 }
 
 // Report applies the end of an attempt that is committed at a journal index and reports whether it changed the table.
@@ -84,10 +80,6 @@
 	if !q.IsUpdate(attempt) {
 		return false
 	}
-	if isProofOfLife(attempt) {
-		q.refute(attempt, index)
-		return true
-	}
 	suspect := &wire.SuspectRequest{
 		Fingerprint: attempt.GetFingerprint(),
 	}
--- a/internal/transport/forwarder/crash_reporter.go
+++ b/internal/transport/forwarder/crash_reporter.go
@@ -25,8 +25,6 @@
 // crashReporter tells control under which requests replicas have crashed or answered again, and logs the quarantines that result.
 type crashReporter struct {
 	forwarder *Forwarder
-	verifier  *crashVerifier
-	log       *crashLog
 	// unsent holds the reports of the last call that failed.
 	unsent []screener.Report
 	ctx    context.Context
@@ -37,11 +35,7 @@
 func newCrashReporter(f *Forwarder) *crashReporter {
 	r := &crashReporter{
 		forwarder: f,
-		verifier:  newCrashVerifier(f),
-		log: &crashLog{
-			forwarder: f,
-		},
-		done: make(chan struct{}),
+		done:      make(chan struct{}),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
@@ -49,8 +43,6 @@
 
 func (r *crashReporter) run() {
 	defer close(r.done)
-	go r.verifier.run()
-	defer r.verifier.close()
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
@@ -71,15 +63,13 @@
 // report sends the oldest reports to the primary. They are kept for the next call if this one fails.
 func (r *crashReporter) report(now time.Time) {
 	f := r.forwarder
-	heardAt := f.directory.heardAt()
 	f.mutex.Lock()
-	f.screener.Expire(now, heardAt)
 	if len(r.unsent) == 0 {
 		r.unsent = f.screener.TakeReports(maxReportBatch)
 	}
 	changes := f.screener.TakeChanges()
 	f.mutex.Unlock()
-	r.log.add(now, changes, r.verifier.takeSummary)
+	r.logChanges(changes)
 	if len(r.unsent) == 0 {
 		return
 	}
@@ -102,10 +92,22 @@
 	defer cancel()
 	client := wireconnect.NewFleetServiceClient(r.forwarder.peers.client, "http://"+addresses[0])
 	_, err := client.ReportAttempts(ctx, connect.NewRequest(request))
-	r.log.addReport(addresses[0], len(r.unsent), err)
+	if err != nil {
+		r.forwarder.log.Info("crashes not reported", "control", addresses[0], "attempts", len(r.unsent), "cause", err.Error())
+	}
 	return err == nil
 }
 
+func (r *crashReporter) logChanges(changes []screener.Change) {
+	for _, change := range changes {
+		message := "request released from quarantine"
+		if change.IsQuarantined {
+			message = "request quarantined"
+		}
+		r.forwarder.log.Info(message, "fingerprint", formatFingerprint(change.Fingerprint), "replicas-crashed", change.Crashes)
+	}
+}
+
 // updateSuspects takes over the suspect requests of a response of control.
 func (f *Forwarder) updateSuspects(response *wire.FollowResponse) {
 	if len(response.GetSuspects()) == 0 {
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -371,7 +371,6 @@
 	for _, record := range response.GetReplicas() {
 		if current := d.replicas[record.GetId()]; current == nil || current.GetIndex() < record.GetIndex() {
 			d.applyReplica(record)
-			d.forwarder.updateIncarnation(record)
 		}
 	}
 	d.index = response.GetIndex()
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -68,7 +68,6 @@
 	m.limitedReplicas.Update(float64(load.LimitedReplicas))
 	m.coldReplicas.Update(float64(f.balancer.ColdCount(now)))
 	m.quarantinedRequests.Update(float64(f.screener.QuarantinedCount(now)))
-	m.suspectedRequests.Update(float64(f.screener.SuspicionCount()))
 	m.minRetryBudget.Update(f.minRetryBudget(now))
 	failures := f.balancer.FleetFailures(now)
 	m.failedShare.Update(failures.Rejected + failures.Lost)
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -8,7 +8,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
-	"pimentogate.example/pimentogate/internal/coordination/screener"
 	"pimentogate.example/pimentogate/internal/transport/reporter"
 )
 
@@ -73,7 +72,6 @@
 	deviatingReplicas    tally.Gauge
 	drainedZones         tally.Gauge
 	coldReplicas         tally.Gauge
-	suspectedRequests    tally.Gauge
 }
 
 func newMeter() *meter {
@@ -117,7 +115,6 @@
 		deviatingReplicas:    s.Gauge("replicas_deviating"),
 		drainedZones:         s.Gauge("zones_drained"),
 		coldReplicas:         s.Gauge("replicas_cold"),
-		suspectedRequests:    s.Gauge("requests_suspected"),
 	}
 }
 
@@ -175,17 +172,6 @@
 	counter.Inc(1)
 }
 
-// recordCrashCheck counts a dial of a replica that has ended a connection.
-func (m *meter) recordCrashCheck(result screener.DialResult, confirmed bool) {
-	name := result.String()
-	if confirmed {
-		name = "crashed"
-	}
-	m.reporter.Scope.Tagged(map[string]string{
-		"result": name,
-	}).Counter("crash_checks").Inc(1)
-}
-
 func (m *meter) recordAttempt(a *scatterer.Attempt, outcome scatterer.OutcomeKind) {
 	key := attemptKey{
 		service: a.Service,
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -392,6 +392,5 @@
 	for i := range results {
 		r.forwarder.logNotice(now, results[i].Attempt.Replica, noticesBefore[i])
 	}
-	r.forwarder.crashes.verifier.wakeIfNeeded()
 	return attempts
 }
