Reproduce the loss of control after replacements among splits

The test replaces instances one after the other, each 5 s after its predecessor's successor has started, and splits control into halves for 3 s in between, as DEPLOY allows at any time; then as many disks are lost as are to be borne.

--- a/internal/state/journaler/membership_test.go
+++ b/internal/state/journaler/membership_test.go
@@ -165,3 +165,42 @@
 		}
 	}
 }
+
+// TestLostDiskAfterReplacementsAmongSplits checks that instances which were replaced lose their votes although no leader stays for long.
+func TestLostDiskAfterReplacementsAmongSplits(t *testing.T) {
+	const (
+		splitDuration  = 3 * time.Second
+		leaderDuration = 2 * time.Second
+	)
+	for _, test := range []struct {
+		size, toleratedLosses int
+		replaced              []int
+	}{
+		{
+			size:            4,
+			toleratedLosses: 1,
+			replaced:        []int{0, 3},
+		},
+		{
+			size:            5,
+			toleratedLosses: 2,
+			replaced:        []int{0, 1, 2},
+		},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", test.size, seed), func(t *testing.T) {
+				c := newOpenCluster(t, seed, test.size, test.toleratedLosses)
+				for _, i := range test.replaced {
+					c.replace(i, 1200*time.Millisecond)
+					c.partition()
+					c.runFor(splitDuration)
+					c.blockedLinks = map[string]bool{}
+					c.runFor(leaderDuration)
+				}
+				c.acknowledge("after the replacements")
+				c.restartWithLostDisks(c.random.Perm(test.size)[:test.toleratedLosses]...)
+				c.checkRecovery()
+			})
+		}
+	}
+}
