Remove replaced voters soon after each election

Callers and operators saw: a configuration is acknowledged, then control has no leader for good and answers every read with 503.

Cause: a leader removes a voter after 3 s of silence, counted from its own election. While leaders change more often than that, for example when control is split into halves between replacements, no voter that is gone is removed. Each replacement then raises the quorum, until the loss of one disk, which is to be borne, leaves too few votes. Class: progress that is measured in the memory of one leader begins anew with each leader.

A member that a leader has never heard since its election, while another of its availability zone is heard, has been replaced; it is removed, or gives way to a joiner, after two election timeouts. It works since the removal of a voter that does not answer never raises the quorum, and a member that was only slow joins again. 2T+1 voters are kept as before.

--- a/internal/state/journaler/join.go
+++ b/internal/state/journaler/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,6 +13,9 @@
 // maxMemberSilence is the silence after which a member of an open membership is removed. It is longer than a restart; a member that returns later joins again.
 const maxMemberSilence = 3 * time.Second
 
+// replacedSilenceElections is the silence, in election timeouts since the election of a leader, after which a member that this leader has never heard is removed if another one of its availability zone is heard. Such a member has been replaced; waiting for maxMemberSilence after each election would keep its vote while leaders change often.
+const replacedSilenceElections = 2
+
 // ChangePendingError rejects a membership change while an earlier one may be uncommitted.
 type ChangePendingError struct {
 	CommitIndex uint64
@@ -119,14 +123,14 @@
 	return m.members.With(asVoter(joiner)), nil
 }
 
-// memberToReplace returns the member that the joiner replaces: the one at its address or, in an open membership, one of its zone that has been silent for maxMemberSilence.
+// memberToReplace returns the member that the joiner replaces: the one at its address or, in an open membership, one of its zone that is gone.
 func (m *Machine) memberToReplace(now time.Time, joiner *wire.ControlMember) *wire.ControlMember {
 	replaced := m.members.otherAtAddress(joiner)
 	if replaced != nil || !m.OpenMembership {
 		return replaced
 	}
 	for _, member := range m.members {
-		if member.GetZone() == joiner.GetZone() && member.GetId() != joiner.GetId() && m.isSilent(now, member, maxMemberSilence) {
+		if member.GetZone() == joiner.GetZone() && member.GetId() != joiner.GetId() && m.isSilent(now, member, m.goneAfter(member, true)) {
 			return member
 		}
 	}
@@ -138,6 +142,26 @@
 	return member.GetId() != m.ID() && now.Sub(m.peer(member.GetId()).ackedRoundSentAt) >= duration && now.Sub(m.electedAt) >= duration
 }
 
+// goneAfter returns how long the member of an open membership has to be silent until it counts as gone. isReplaced is set if another instance of its zone is heard.
+func (m *Machine) goneAfter(member *wire.ControlMember, isReplaced bool) time.Duration {
+	if isReplaced && m.peer(member.GetId()).ackedRoundSentAt.IsZero() {
+		return replacedSilenceElections * m.timing.ElectionTimeout
+	}
+	return maxMemberSilence
+}
+
+// isZoneHeard reports whether another member of the member's zone is heard, or this leader is in it.
+func (m *Machine) isZoneHeard(now time.Time, member *wire.ControlMember) bool {
+	return member.GetZone() != "" && slices.ContainsFunc(m.members, func(other *wire.ControlMember) bool {
+		return other.GetId() != member.GetId() && other.GetZone() == member.GetZone() && m.isHeard(now, other.GetId())
+	})
+}
+
+// isHeard reports whether the member is this leader or has acknowledged it within the lease.
+func (m *Machine) isHeard(now time.Time, id string) bool {
+	return id == m.ID() || now.Sub(m.peer(id).ackedRoundSentAt) < m.timing.LeaseDuration
+}
+
 func (m *Machine) addLearner(now time.Time, replaced, joiner *wire.ControlMember) (Members, error) {
 	if replaced == nil && m.OpenMembership {
 		return m.members.With(asLearner(joiner)), nil
@@ -162,14 +186,14 @@
 	return nil
 }
 
-// removeSilentVoter proposes the removal of the voter that has been silent longest, if that is maxMemberSilence or more. Otherwise an instance that is gone for good would count in every quorum.
+// removeSilentVoter proposes the removal of the voter that has been silent longest among those that are gone. Otherwise an instance that is gone for good would count in every quorum.
 func (m *Machine) removeSilentVoter(now time.Time) {
 	if !m.OpenMembership || m.members.VoterCount() <= m.minVoters() || m.hasPendingChange() {
 		return
 	}
 	var silent *wire.ControlMember
 	for _, member := range m.members {
-		isCandidate := !member.GetLearner() && m.isSilent(now, member, maxMemberSilence)
+		isCandidate := !member.GetLearner() && m.isSilent(now, member, m.goneAfter(member, m.isZoneHeard(now, member)))
 		if isCandidate && (silent == nil || m.peer(member.GetId()).ackedRoundSentAt.Before(m.peer(silent.GetId()).ackedRoundSentAt)) {
 			silent = member
 		}
--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -208,7 +208,7 @@
 
 func (m *Machine) hasQuorumContact(now time.Time) bool {
 	return m.members.HasQuorum(func(id string) bool {
-		return id == m.ID() || now.Sub(m.peer(id).ackedRoundSentAt) < m.timing.LeaseDuration
+		return m.isHeard(now, id)
 	})
 }
 
