Log and measure how far an instance is behind, and when its state was confirmed

The hypotheses on requests that are handled by an old version could not be told apart: control logged nothing while it applied nothing, and the age of the replica table is reset by responses that no quorum has confirmed.

Control instances now measure how long a committed entry has not been applied and log when that exceeds an election timeout; entry instances measure and log how long no quorum has confirmed their state. No decision depends on either.

--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -142,6 +142,7 @@
 	// early holds messages that depend on no write; see TakeEarlyMessages.
 	early []*wire.JournalMessage
 	saved savedState
+	lag   lag
 }
 
 // New returns a follower with the saved state.
--- a/internal/state/journaler/replication.go
+++ b/internal/state/journaler/replication.go
@@ -133,6 +133,7 @@
 func (m *Machine) handleAppendRequest(now time.Time, msg *wire.JournalMessage, request *wire.AppendAsk) {
 	m.becomeFollower(now, msg.GetTerm(), msg.GetFrom())
 	m.leaderContactAt = now
+	m.lag.announce(request.GetCommit())
 	term, ok := m.log.Term(request.GetPrevIndex())
 	behindSnapshot := request.GetPrevIndex() < m.log.FirstIndex()-1
 	if !behindSnapshot && (!ok || term != request.GetPrevTerm()) {
@@ -267,6 +268,7 @@
 	m.becomeFollower(now, msg.GetTerm(), msg.GetFrom())
 	m.leaderContactAt = now
 	snapshot := request.GetSnapshot()
+	m.lag.announce(snapshot.GetIndex())
 	if snapshot.GetIndex() > m.commitIndex {
 		m.installSnapshot(snapshot)
 	}
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -73,7 +73,9 @@
 	meter      *meter
 	leadership leadership
 	// members is the membership that was logged last.
-	members      journaler.Members
+	members journaler.Members
+	// isLagging is set while this instance has not applied what its leader committed an election timeout ago.
+	isLagging    bool
 	fatalErr     error
 	appliedIndex uint64
 	followers    *followers
@@ -300,6 +302,7 @@
 			c.updateGauges(now)
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
+			c.updateLag(time.Now())
 			c.machine.ReconcileMembers(time.Now(), c.state.Catalog.Config().GetControls())
 		case message := <-c.messages:
 			c.machine.Step(time.Now(), message)
--- a/internal/transport/controller/meter.go
+++ b/internal/transport/controller/meter.go
@@ -25,6 +25,7 @@
 	voters        tally.Gauge
 	configVersion tally.Gauge
 	appliedIndex  tally.Gauge
+	lag           tally.Gauge
 	readyReplicas tally.Gauge
 	followers     tally.Gauge
 	logLength     tally.Gauge
@@ -51,6 +52,7 @@
 		voters:        scope.Gauge("journal_votes"),
 		configVersion: scope.Gauge("control_configuration_version"),
 		appliedIndex:  scope.Gauge("journal_applied_index"),
+		lag:           scope.Gauge("journal_lag_seconds"),
 		readyReplicas: scope.Gauge("replicas_enrolled"),
 		followers:     scope.Gauge("followers"),
 		logLength:     scope.Gauge("journal_entries_held"),
@@ -107,6 +109,18 @@
 	c.log.Info("members changed", "voters", members.VoterIDs(), "learners", members.LearnerIDs(), "quorum", members.QuorumSize(), "last-index", c.machine.LastIndex())
 }
 
+// updateLag logs when this instance falls behind what its leader has committed for longer than an election timeout, and when it has caught up.
+func (c *Controller) updateLag(now time.Time) {
+	lag := c.machine.Lag(now, c.appliedIndex)
+	isLagging := lag >= c.electionTimeout()
+	if isLagging == c.isLagging {
+		return
+	}
+	c.isLagging = isLagging
+	c.log.Info("lag behind the leader changed", "lags", isLagging, "applied", c.appliedIndex, "committed", c.machine.CommitIndex(), "leader", c.machine.Leader(), "saving", c.isSaving,
+		"version", c.state.Publisher.Publication().GetVersion())
+}
+
 // updateGauges updates all gauges. It must be called from the event loop.
 func (c *Controller) updateGauges(now time.Time) {
 	m := c.meter
@@ -115,6 +129,7 @@
 	m.voters.Update(float64(c.machine.Members().VoterCount()))
 	m.configVersion.Update(float64(c.state.Publisher.Publication().GetVersion()))
 	m.appliedIndex.Update(float64(c.appliedIndex))
+	m.lag.Update(c.machine.Lag(now, c.appliedIndex).Seconds())
 	m.logLength.Update(float64(c.machine.LogLength()))
 	m.followers.Update(float64(c.followers.count(now)))
 	if sent, refused := c.admission.takeCounts(); refused > 0 {
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -28,6 +28,8 @@
 	singleUnconfirmedDelay = 1500 * time.Millisecond
 	// maxKeptSuspects bounds the suspect requests that are kept for peers; control keeps at most half as many.
 	maxKeptSuspects = 1024
+	// maxUnconfirmedAge is how long no control instance in contact with a quorum may have confirmed the state before that is logged.
+	maxUnconfirmedAge = 2 * time.Second
 )
 
 // stateSource is where the first state of an instance came from.
@@ -76,6 +78,8 @@
 	controlTimeAt time.Time
 	// confirmedAt is when a control instance in contact with a quorum last confirmed the state; zero if none has.
 	confirmedAt time.Time
+	// isUnconfirmed is set while that is longer ago than maxUnconfirmedAge.
+	isUnconfirmed bool
 	// configReceivedAt is when the configuration was received, and lastAppliedAt is when a response was last applied, even one without changes.
 	configReceivedAt time.Time
 	lastAppliedAt    time.Time
@@ -291,6 +295,23 @@
 	}
 }
 
+// checkConfirmation returns the time since the state was last confirmed, or since the start, and logs when it exceeds maxUnconfirmedAge and when the state is confirmed again.
+func (d *directory) checkConfirmation(now time.Time) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	age := now.Sub(d.startedAt)
+	if !d.confirmedAt.IsZero() {
+		age = now.Sub(d.confirmedAt)
+	}
+	if isUnconfirmed := age > maxUnconfirmedAge; isUnconfirmed != d.isUnconfirmed {
+		d.isUnconfirmed = isUnconfirmed
+		reachability := d.subscriber.Reachability()
+		d.forwarder.log.Info("confirmation of the state changed", "confirmed", !isUnconfirmed, "age-ms", age.Milliseconds(), "version", d.configVersion, "index", d.index,
+			"primary", d.subscriber.Primary(), "control-reached", reachability.Reached, "control-known", reachability.Known)
+	}
+	return max(age, 0)
+}
+
 // markInitialized allows the instance to serve with the state that it holds, after a response of a control instance or a peer.
 func (d *directory) markInitialized(from string) {
 	d.mutex.Lock()
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -57,6 +57,7 @@
 	m.replicas.Update(float64(status.replicas))
 	m.incomingRelays.Update(float64(f.peers.incomingCalls.Load()))
 	m.controlReached.Update(float64(f.directory.reachability().Reached))
+	m.confirmedAge.Update(f.directory.checkConfirmation(now).Seconds())
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	m.entryInstances.Update(float64(f.entryInstances))
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -62,6 +62,7 @@
 	tableAge             tally.Gauge
 	replicas             tally.Gauge
 	controlReached       tally.Gauge
+	confirmedAge         tally.Gauge
 	entryInstances       tally.Gauge
 	incomingRelays       tally.Gauge
 	attemptsInFlight     tally.Gauge
@@ -105,6 +106,7 @@
 		tableAge:             s.Gauge("replica_table_heard_seconds"),
 		replicas:             s.Gauge("replicas_known"),
 		controlReached:       s.Gauge("control_instances_reached"),
+		confirmedAge:         s.Gauge("control_confirmed_seconds"),
 		entryInstances:       s.Gauge("entry_instances_sharing"),
 		incomingRelays:       s.Gauge("peer_calls_carried"),
 		attemptsInFlight:     s.Gauge("attempts_in_flight"),
