Reproduce a control instance that confirms an old version

What the users saw: requests are handled by an old version after a newer one was acknowledged. An entry instance takes its updates from one control instance as long as that confirms to be in contact with a quorum. The test blocks the disk of a follower and publishes version 2: the follower goes on confirming version 1.

--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -332,6 +332,32 @@
 	}
 }
 
+// blockDisk lets the instance's writes fail until the returned function is called.
+func (cl *cluster) blockDisk(i int) func() {
+	cl.t.Helper()
+	folder := cl.settings[i].DataFolder
+	check(cl.t, os.Rename(folder, folder+".away"))
+	check(cl.t, cl.controls[i].store.Close())
+	return func() { check(cl.t, os.Rename(folder+".away", folder)) }
+}
+
+// TestBlockedDiskIsNotConfirmed guards against entry instances that go on with an old version because their control instance confirms what it has, although its disk takes no writes.
+func TestBlockedDiskIsNotConfirmed(t *testing.T) {
+	cl := newCluster(t, 3)
+	cl.awaitVoters(0)
+	cl.publish(0, 1, "first")
+	follower := (cl.awaitLeader() + 1) % len(cl.controls)
+	unblock := cl.blockDisk(follower)
+	defer unblock()
+	cl.publish(cl.awaitLeader(), 2, "second")
+	time.Sleep(3 * testElectionTimeoutMs * time.Millisecond)
+	response, err := cl.controls[follower].changesSince(t.Context(), 1)
+	check(t, err)
+	if response.GetVersion() != 2 && response.GetConfirmed() {
+		t.Errorf("version %d is confirmed after version 2 was acknowledged", response.GetVersion())
+	}
+}
+
 // TestLeaderOutlastsFollowersDisks checks that a leader keeps its term while the disks of all its followers refuse a write, and that the write is acknowledged once they accept it.
 func TestLeaderOutlastsFollowersDisks(t *testing.T) {
 	cl := newCluster(t, 3)
@@ -339,11 +365,10 @@
 	cl.publish(0, 1, "first")
 	leader := cl.awaitLeader()
 	term := cl.term(leader)
+	var unblock []func()
 	for i := range cl.controls {
 		if i != leader {
-			folder := cl.settings[i].DataFolder
-			check(t, os.Rename(folder, folder+".away"))
-			check(t, cl.controls[i].store.Close())
+			unblock = append(unblock, cl.blockDisk(i))
 		}
 	}
 	published := make(chan error, 1)
@@ -357,11 +382,8 @@
 	if got := cl.term(leader); got != term {
 		t.Errorf("term %d, want %d", got, term)
 	}
-	for i := range cl.controls {
-		if i != leader {
-			folder := cl.settings[i].DataFolder
-			check(t, os.Rename(folder+".away", folder))
-		}
+	for _, unblockDisk := range unblock {
+		unblockDisk()
 	}
 	select {
 	case err := <-published:
