Do not confirm a state that is behind what the leader has committed

Callers saw: an instance in touch went on handling requests by an old version.

Cause: a control instance confirmed each response while it heard the leader. Class: being connected is taken for being up to date.

A response is now confirmed if the instance has also applied what its leader had committed an election timeout ago. The same cause elsewhere: the stream of configurations of the product's own gateways, which have no other poll, stayed at such an instance until its disk was back; it now ends as when the quorum is lost. It works since a follower learns the commit index with each heartbeat, which no disk delays.

Before: TestBlockedDiskIsNotConfirmed failed, version 1 was confirmed after version 2 had been acknowledged. After: it passes.

--- a/internal/state/journaler/lag.go
+++ b/internal/state/journaler/lag.go
@@ -28,6 +28,11 @@
 	return now.Sub(l.since)
 }
 
+// IsCurrent reports whether this instance is in contact with a quorum or the leader and has applied all that was committed an election timeout ago, as far as it knows.
+func (m *Machine) IsCurrent(now time.Time, applied uint64) bool {
+	return m.InContact(now) && m.Lag(now, applied) < m.timing.ElectionTimeout
+}
+
 // Lag returns how long an entry that the leader has announced as committed has not been applied, given the applied index. An instance with a stalled disk, or one that waits for a snapshot, is in contact with the leader but lags. It has to be called at short intervals.
 func (m *Machine) Lag(now time.Time, applied uint64) time.Duration {
 	m.lag.announce(m.commitIndex)
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -184,7 +184,7 @@
 		response.Replicas, response.Suspects = c.changesFrom(fromIndex)
 		response.TimeMs = time.Now().UnixMilli()
 		response.Members = c.machine.Members()
-		response.Confirmed = c.machine.InContact(now)
+		response.Confirmed = c.machine.IsCurrent(now, c.appliedIndex)
 		response.Drains = c.state.Catalog.ZoneDrains()
 	})
 	return response, err
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -168,12 +168,12 @@
 		if isClosed {
 			return connect.NewError(connect.CodeUnavailable, errClosed)
 		}
-		inContact, err := w.controller.inContact(ctx)
+		isCurrent, err := w.controller.isCurrent(ctx)
 		if err != nil {
 			return w.controller.connectError(err)
 		}
-		if !inContact {
-			return connect.NewError(connect.CodeUnavailable, errors.New("this control instance has lost its quorum"))
+		if !isCurrent {
+			return connect.NewError(connect.CodeUnavailable, errors.New("this control instance has lost its quorum or is behind it"))
 		}
 		response := &wire.WatchResponse{
 			Revision: config.GetRevision(),
@@ -204,13 +204,13 @@
 	return err
 }
 
-// inContact reports whether this instance is the leader and holds its lease, or had contact with the leader recently.
-func (c *Controller) inContact(ctx context.Context) (bool, error) {
-	inContact := false
+// isCurrent reports whether this instance is in contact with a quorum and is not behind it.
+func (c *Controller) isCurrent(ctx context.Context) (bool, error) {
+	isCurrent := false
 	err := c.runInLoop(ctx, func(now time.Time) {
-		inContact = c.machine.InContact(now)
+		isCurrent = c.machine.IsCurrent(now, c.appliedIndex)
 	})
-	return inContact, err
+	return isCurrent, err
 }
 
 // leaderConfig returns the configuration and members as of an entry that is committed after the call began. A lease does not suffice, since a machine cannot tell how long it was suspended.
