--- a/internal/transport/forwarder/state_test.go
+++ b/internal/transport/forwarder/state_test.go
@@ -74,9 +74,15 @@
 }
 
 func (c *busyControl) listen(t *testing.T) string {
+	t.Helper()
+	return listenFleet(t, c)
+}
+
+// listenFleet serves a control instance and returns its address.
+func listenFleet(t *testing.T, control wireconnect.FleetServiceHandler) string {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewFleetServiceHandler(c))
+	mux.Handle(wireconnect.NewFleetServiceHandler(control))
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.Protocols = &http.Protocols{}
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
