Poll the next primary at once when the current one is behind

Callers saw: an instance in touch went on handling requests by an old version.

Only a failed call woke the others. Class: a decision is made and nobody who waits is told.

The new primary is now polled at once; the others keep their delays, so that an election costs control one call from each entry instance and not one for each control instance.

--- a/internal/coordination/subscriber/subscriber.go
+++ b/internal/coordination/subscriber/subscriber.go
@@ -140,10 +140,16 @@
 // SetEntryInstances sets the number of entry instances.
 func (s *Subscriber) SetEntryInstances(count int) { s.entryInstances = count }
 
-// RecordAnswer records that a control instance has answered a call and whether it was in contact with a quorum.
-func (s *Subscriber) RecordAnswer(address string, hasQuorum bool) {
+// RecordAnswer records that a control instance has answered a call and whether a quorum confirms the answer. If the
+// primary is lost by that, it returns the one that replaces it, which the caller polls at once, or "" if there is none.
+func (s *Subscriber) RecordAnswer(address string, hasQuorum bool) string {
 	s.startCalls = min(s.startCalls, answeredStartCalls)
+	isLost := s.Primary() == address && !hasQuorum
 	s.recordCall(address, true, hasQuorum)
+	if !isLost {
+		return ""
+	}
+	return s.Primary()
 }
 
 // RecordFailure records a failed call and reports whether the control instance was the primary. In that case
--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -195,14 +195,16 @@
 	return nil
 }
 
-// recordAnswer records that a control instance has answered a call and whether it was in contact with a quorum.
+// recordAnswer records that a control instance has answered a call and whether a quorum confirms the answer. If that replaces the primary, the new one is polled at once.
 func (d *directory) recordAnswer(address string, confirmed bool) {
 	if confirmed {
 		d.forwarder.allotments.contact.recordConfirmed()
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.subscriber.RecordAnswer(address, confirmed)
+	if next := d.pollers[d.subscriber.RecordAnswer(address, confirmed)]; next != nil {
+		next.wake()
+	}
 }
 
 // recordFailure records a failed call. If the primary has failed, it wakes all pollers, so that the others are polled at once.
