Refuse heartbeats that describe no replica

Here nothing ends, but twelve such heartbeats were acknowledged and used as replicas, and one whose ID is not valid UTF-8 was retried for 0.9 s and answered 503, again and again.

Cause: only the types and presence of fields were checked. Class: a value is decoded and never checked for its range.

The state machine itself accepts what it did, so that builds do not diverge. The same cause elsewhere: names of availability zones were checked already.

--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -441,9 +441,14 @@
 	}
 }
 
-// applyReplica applies a changed record. Only ready and lost replicas stay in the balancer.
+// applyReplica applies a changed record. Only ready and lost replicas stay in the balancer. Records of older builds may describe no replica.
 func (d *directory) applyReplica(record *wire.Replica) {
 	d.replicas[record.GetId()] = record
+	if err := checker.CheckReplica(record); err != nil {
+		d.forwarder.log.Info("record describes no replica", "record", record.GetId(), "reason", err.Error(), "index", record.GetIndex())
+		d.forwarder.removeReplica(record.GetId())
+		return
+	}
 	if d.initialized {
 		d.forwarder.log.Info("replica changed", "replica", record.GetId(), "service", record.GetService(), "address", record.GetAddress(),
 			"state", wire.StateName(record.GetState()), "index", record.GetIndex())
