Test that no beginning of a replica's response is taken for a whole one

Another operator reported: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. That does not happen here: each of some 500 beginnings of six kinds of response, with a length, in chunks, up to the end of the connection, without a body, counts as broken off; only a body without a length may end anywhere, as the protocol says.

--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -229,6 +229,38 @@
 	}
 }
 
+// TestBrokenOffResponse guards against a response that breaks off, in its head or its body, and is taken for a whole one: it sends each beginning of each kind of response and closes the connection.
+func TestBrokenOffResponse(t *testing.T) {
+	const (
+		head         = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: 3e1b.07\r\n"
+		unframedHead = head + "Connection: close\r\n\r\n"
+	)
+	cases := []struct {
+		name, response string
+		// wholeFrom is the length from which the response may be whole; 0 stands for its own.
+		wholeFrom int
+	}{
+		{"length", head + "Content-Length: 12\r\n\r\ntwelve bytes", 0},
+		{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: 1\r\n\r\ntwelve bytes", 0},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n", 0},
+		{"end of the connection", unframedHead + "twelve bytes", len(unframedHead)},
+		{"interim response first", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", 0},
+		{"no body", "HTTP/1.1 204 No Content\r\nId: 1\r\nStamp: 3e1b.07\r\n\r\n", 0},
+	}
+	for _, c := range cases {
+		if c.wholeFrom == 0 {
+			c.wholeFrom = len(c.response)
+		}
+		for length := range len(c.response) + 1 {
+			f := newFakeReplica(t, c.response[:length]+"<end>")
+			outcome := f.do(newExchanger(1), "1", 0, false, 2*time.Second)
+			if isWhole := outcome.Kind == scatterer.OutcomeReplied; isWhole != (length >= c.wholeFrom) {
+				t.Errorf("%s: %q is %s", c.name, c.response[:length], outcome.Kind)
+			}
+		}
+	}
+}
+
 // TestEarlyResponse checks that a connection isn't reused if the response arrives before the long request body is fully written.
 func TestEarlyResponse(t *testing.T) {
 	const bodySize = 8 << 20
