Answer the requests in flight before a stopping instance ends

Another operator reported: in a planned stop, requests were cut with no answer at the end of the grace, among them some that may not be repeated. It happens here: after the grace the server closes all connections, whatever is in flight.

Cause: nothing decides the requests that are left when the time is up; their deadlines may lie far beyond it. Class: a limit of the process that the decisions on requests do not know.

200 ms before the instance closes its connections each request in flight is decided as if its deadline had passed: a query with the shards that are in, if they are enough, others with 504, or 503 if no byte was sent. A request that a peer answers in its place ends in the same way.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -346,6 +346,13 @@
 	}
 }
 
+// LimitDeadline ends waiting at the given time if it would last longer.
+func (j *Job) LimitDeadline(deadline time.Time) {
+	j.hardDeadline = earlier(j.hardDeadline, deadline)
+	j.softDeadline = earlier(j.softDeadline, deadline)
+	j.noteChange()
+}
+
 // StopSending has no attempt follow those that are then withdrawn.
 func (j *Job) StopSending() {
 	j.hasGivenUp = true
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -86,6 +86,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	defer context.AfterFunc(v.forwarder.ending.ctx, cancel)()
 	response, err := v.forwarder.peers.relayClient(peer.Address).Divert(ctx, connect.NewRequest(v.newRequest(now)))
 	if err != nil {
 		return nil, err
--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -476,6 +476,23 @@
 
 // TestPeerEndsDuringDivertedRequest guards against a caller being told that its request has not run, when the peer that took it over ended after a replica had begun it.
 func TestPeerEndsDuringDivertedRequest(t *testing.T) {
+	testEndDuringDivertedRequest(t, func(sf *strandedFixture) {
+		for _, peer := range sf.instances[1:] {
+			peer.peers.server.Close()
+		}
+	})
+}
+
+// TestInstanceEndsDuringDivertedRequest guards against a caller getting no answer, when the instance that has handed its request over to a peer has to end.
+func TestInstanceEndsDuringDivertedRequest(t *testing.T) {
+	testEndDuringDivertedRequest(t, func(sf *strandedFixture) {
+		sf.instances[sf.receiver].ending.start(time.Now().Add(finalAnswerTime))
+	})
+}
+
+// testEndDuringDivertedRequest ends an instance after a replica has begun a diverted request, and checks the answer.
+func testEndDuringDivertedRequest(t *testing.T, end func(sf *strandedFixture)) {
+	t.Helper()
 	for name, route := range map[string]int{
 		"shards":       routeAll,
 		"at most once": routeOnce,
@@ -490,9 +507,7 @@
 			answer := make(chan Answer, 1)
 			go func() { answer <- sf.send(t.Context(), route) }()
 			<-began
-			for _, peer := range sf.instances[1:] {
-				peer.peers.server.Close()
-			}
+			end(sf)
 			d := (<-answer).Decision
 			if d.Kind != scatterer.Failed || d.Reason != scatterer.ReasonPeerFailed || d.RetryAfter <= 0 {
 				t.Errorf("kind %v, reason %q, retry after %s", d.Kind, d.Reason, d.RetryAfter)
--- /dev/null
+++ b/internal/transport/forwarder/ending.go
@@ -0,0 +1,31 @@
+package forwarder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// finalAnswerTime is how long before an instance is killed it answers the requests that are still in flight, so that their answers are written.
+const finalAnswerTime = 200 * time.Millisecond
+
+// ending is the time at which an instance that is stopping answers the requests in flight.
+type ending struct {
+	at atomic.Pointer[time.Time]
+	// ctx is done from that time on.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newEnding() *ending {
+	e := &ending{}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	return e
+}
+
+// start sets the time by that at which the instance is killed. It returns a function that releases the timer.
+func (e *ending) start(killedAt time.Time) func() bool {
+	at := killedAt.Add(-finalAnswerTime)
+	e.at.Store(&at)
+	return time.AfterFunc(time.Until(at), e.cancel).Stop
+}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -75,6 +75,7 @@
 	isolation    *isolationMonitor
 	allotments   *allotments
 	records      *depositor.Depositor
+	ending       *ending
 	stop         chan struct{}
 	done         chan struct{}
 }
@@ -94,6 +95,7 @@
 		entryInstances: assumedRetryingInstances,
 		advertiser:     advertiser.New(),
 		meter:          newMeter(),
+		ending:         newEnding(),
 		stop:           make(chan struct{}),
 		done:           make(chan struct{}),
 	}
@@ -213,9 +215,12 @@
 	return f.settings
 }
 
-// Shutdown drains the instance and stops it once every request in flight is answered or ctx is done.
+// Shutdown drains the instance and stops it once every request in flight is answered. Shortly before the deadline of ctx, the requests still in flight are answered with what has arrived by then.
 func (f *Forwarder) Shutdown(ctx context.Context) {
 	f.log.Info("stopping")
+	if deadline, ok := ctx.Deadline(); ok {
+		defer f.ending.start(deadline)()
+	}
 	f.stopping.Store(true)
 	f.callers.shutdown(ctx, f.drainDuration())
 	close(f.stop)
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// serve processes the request until it is decided, the caller disconnects or, for a request that may run again, this instance becomes isolated.
+// serve processes the request until it is decided, the caller disconnects, this instance ends or, for a request that may run again, it becomes isolated.
 func (r *activeRequest) serve(ctx context.Context) scatterer.Decision {
 	var isolated <-chan struct{}
 	if r.request.Route.Idempotent && !r.forwarder.isolation.isIsolated() {
@@ -152,6 +152,9 @@
 	case <-isolated:
 		r.withdrawAll()
 		return r.finish(scatterer.ReasonIsolated, abandonedTimeout)
+	case <-r.forwarder.ending.ctx.Done():
+		r.decideNow()
+		return r.finish(scatterer.ReasonNone, abandonedTimeout)
 	case <-ctx.Done():
 		return r.finish(scatterer.ReasonCallerGone, callerGoneTimeout)
 	}
@@ -183,10 +186,22 @@
 
 // tick handles the hedges, retries and deadlines that are due.
 func (r *activeRequest) tick() {
-	f := r.forwarder
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	r.forwarder.mutex.Lock()
+	defer r.forwarder.mutex.Unlock()
+	r.handleDue(time.Now())
+}
+
+// decideNow decides the request as if its deadline had passed.
+func (r *activeRequest) decideNow() {
+	r.forwarder.mutex.Lock()
+	defer r.forwarder.mutex.Unlock()
 	now := time.Now()
+	r.job.LimitDeadline(now)
+	r.handleDue(now)
+}
+
+// handleDue handles what is due; the mutex must be held.
+func (r *activeRequest) handleDue(now time.Time) {
 	if withdrawal := r.job.GiveUp(now); withdrawal != scatterer.WithdrawNone {
 		r.withdraw(now, withdrawal)
 	}
