Refuse what a stopping instance can't finish

Another operator reported: in a planned stop, in calm, requests that came late in the grace were taken and passed on to replicas, and cut at its end. It happens here for requests that arrive during the drain, half of the grace, or whose body takes long to arrive.

Cause: nothing compares what a request needs with the time that is left.

The load that it answers is that of callers with kept connections, since the balancer sends no new ones to an instance that is not ready.

Before: TestStopRefusesWhatItCannotFinish failed for both kinds: the replica got the request and the caller no answer. After: 503 within half of the grace, and nothing is sent.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -33,6 +33,8 @@
 	minObservedShare = 0.3
 	// RetryAfterFailure is the Retry-After of a request that found no replica, failed or expired: about one short backoff of a replica.
 	RetryAfterFailure = 250 * time.Millisecond
+	// RetryAfterStopping is the Retry-After of a request that an instance which stops can't finish. Others serve meanwhile.
+	RetryAfterStopping = 20 * time.Millisecond
 	// retryAfterOverload is the Retry-After of a request that was refused because of load.
 	retryAfterOverload = 100 * time.Millisecond
 )
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -162,6 +162,7 @@
 	ReasonAllotmentUnknown Reason = "allotment-unknown"
 	ReasonZoneDrained      Reason = "zone-drained"
 	ReasonHomeRegions      Reason = "outside-home-regions"
+	ReasonStopping         Reason = "instance-stopping"
 )
 
 // DecisionKind says what kind of answer the caller gets.
--- a/internal/transport/forwarder/ending.go
+++ b/internal/transport/forwarder/ending.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 )
 
 // finalAnswerTime is how long before an instance is killed it answers the requests that are still in flight, so that their answers are written.
@@ -23,6 +25,12 @@
 	return e
 }
 
+// canFinish reports whether the request can be expected to be answered before the instance ends.
+func (e *ending) canFinish(now time.Time, request *scatterer.Request, expectedWork time.Duration) bool {
+	at := e.at.Load()
+	return at == nil || scatterer.CanFinish(request, expectedWork, now, *at)
+}
+
 // start sets the time by that at which the instance is killed. It returns a function that releases the timer.
 func (e *ending) start(killedAt time.Time) func() bool {
 	at := killedAt.Add(-finalAnswerTime)
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -42,6 +42,10 @@
 func (f *Forwarder) Serve(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	if !f.ending.canFinish(time.Now(), &request, f.expectedWork(request.Route.Name)) {
+		// The caller reaches another instance, since this one closes its connection.
+		return f.refuse(call, request, version, scatterer.ReasonStopping, scatterer.RetryAfterStopping)
+	}
 	var refusal *AllotmentError
 	if errors.As(f.allotments.charge(ctx, &request), &refusal) {
 		return f.refuse(call, request, version, refusal.Reason, refusal.RetryAfter)
@@ -53,6 +57,13 @@
 	return answer
 }
 
+// expectedWork returns the expected work of a request of the route, 0 if it is not known.
+func (f *Forwarder) expectedWork(route string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.balancer.ExpectedWork(route).Mean
+}
+
 // serveCharged answers a request that may be sent. If this instance is isolated or could not send the request, peers answer in its place if one takes the request.
 func (f *Forwarder) serveCharged(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	v := &diversion{
