Relay only requests and results that messages can carry

Found while looking for the cause of the odd heartbeats elsewhere: one request with a header field in Latin-1 failed as a whole, with 502 although each part could have been sent directly, and its peers were skipped for a while, to the harm of other requests. A replica whose status line or stamp is not UTF-8 ended the relay of all attempts in its message.

Cause: the text of messages between instances has to be UTF-8, that of HTTP need not be, and nothing checked it. Class: what others write is passed to an encoder that refuses it.

Requests that messages can't carry are sent directly; results are made encodable, and a stamp that can't be carried counts as a broken reply.

--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 
@@ -34,8 +36,11 @@
 	tried []*diverter.Peer
 }
 
-// run asks peers until one answers. It returns nil if none has taken the request or reached a replica.
+// run asks peers until one answers. It returns nil if none has taken the request or reached a replica, or if the request can't be sent to peers.
 func (v *diversion) run(ctx context.Context) *Answer {
+	if !isEncodable(v.call) {
+		return nil
+	}
 	for range maxDiversions {
 		peer := v.choosePeer()
 		if peer == nil {
@@ -188,6 +193,18 @@
 	})
 }
 
+// isEncodable reports whether the request can be part of a message between instances, whose text is UTF-8. A header field may have another encoding.
+func isEncodable(call *exchanger.Call) bool {
+	for name, values := range call.Header {
+		if !utf8.ValidString(name) || slices.ContainsFunc(values, isNotUTF8) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc([]string{call.ID, call.Method, call.Host, call.Path}, isNotUTF8)
+}
+
+func isNotUTF8(text string) bool { return !utf8.ValidString(text) }
+
 func headersToWire(header http.Header) []*wire.RelayHeader {
 	var list []*wire.RelayHeader
 	for name, values := range header {
--- a/internal/transport/forwarder/divert_service.go
+++ b/internal/transport/forwarder/divert_service.go
@@ -133,7 +133,7 @@
 	for _, field := range reply.Fields {
 		message.Fields = append(message.Fields, &wire.RelayHeader{
 			Name:   field.Name,
-			Values: []string{field.Value},
+			Values: []string{strings.ToValidUTF8(field.Value, "?")},
 		})
 	}
 	return message
--- a/internal/transport/forwarder/relay_groups.go
+++ b/internal/transport/forwarder/relay_groups.go
@@ -23,10 +23,10 @@
 	isFirst bool
 }
 
-// relayAttempts starts relays for the attempts that go through peers and returns those to send directly; the mutex must be held. Relays carry no body.
+// relayAttempts starts relays for the attempts that go through peers and returns those to send directly; the mutex must be held. Relays carry no body, and only text in UTF-8.
 func (r *activeRequest) relayAttempts(now time.Time, attempts []*scatterer.Attempt) []*scatterer.Attempt {
 	f := r.forwarder
-	if !r.request.Route.IsSharded() || f.settings.ListenPeers == "" || len(r.call.Body) > 0 {
+	if !r.request.Route.IsSharded() || f.settings.ListenPeers == "" || len(r.call.Body) > 0 || !isEncodable(r.call) {
 		return attempts
 	}
 	delegates := f.peers.delegates(now)
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -189,24 +190,34 @@
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
 	r.observer.end(a.replica, startedAt, &outcome)
 	r.forwarder.recordRelayed(a.replica, &outcome)
+	part := newRelayPart(a.number, &outcome)
+	// A record can be in the merged top K only if it is in the top K of its part.
+	if !r.merges && outcome.Reply != nil && outcome.Reply.IsSuccess() {
+		part.Body = merger.TopRecords([][]byte{part.Body}, r.topK)
+	}
+	r.parts <- part
+}
+
+// newRelayPart returns the result of an attempt for the peer that has asked for it. A stamp that can't be part of the message counts as a broken reply.
+func newRelayPart(number uint32, outcome *scatterer.Outcome) *wire.RelayPart {
 	part := &wire.RelayPart{
-		Number:  a.number,
+		Number:  number,
 		Outcome: uint32(outcome.Kind),
-		Cause:   outcome.Cause,
+		Cause:   strings.ToValidUTF8(outcome.Cause, "?"),
 		Notice:  noticeToWire(outcome.Notice),
 
 		ConnectionLost: outcome.ConnectionLost,
 	}
+	if outcome.Reply != nil && isNotUTF8(outcome.Reply.Stamp) {
+		part.Outcome = uint32(scatterer.OutcomeBroken)
+		return part
+	}
 	if outcome.Reply != nil {
 		part.Status = uint32(outcome.Reply.Status)
 		part.Stamp = outcome.Reply.Stamp
 		part.Body = outcome.Reply.Body
 	}
-	// A record can be in the merged top K only if it is in the top K of its part.
-	if !r.merges && outcome.Reply != nil && outcome.Reply.IsSuccess() {
-		part.Body = merger.TopRecords([][]byte{part.Body}, r.topK)
-	}
-	r.parts <- part
+	return part
 }
 
 // findReplica returns the replica with the ID and how to reach it, or nil if this instance does not know it.
--- a/internal/transport/forwarder/relay_test.go
+++ b/internal/transport/forwarder/relay_test.go
@@ -245,16 +245,22 @@
 }
 
 func (rf *relayFixture) serve(t *testing.T) scatterer.Decision {
+	t.Helper()
+	return rf.serveWith(t, http.Header{
+		"Kept": {"yes"},
+	})
+}
+
+// serveWith sends a request with the header.
+func (rf *relayFixture) serveWith(t *testing.T, header http.Header) scatterer.Decision {
 	t.Helper()
 	return rf.near.Serve(t.Context(), &exchanger.Call{
 		ID:     "1",
 		Method: http.MethodGet,
 		Host:   "a.example",
 		Path:   "/all/1?q",
-		Header: http.Header{
-			"Kept": {"yes"},
-		},
-		Body: rf.body,
+		Header: header,
+		Body:   rf.body,
 	}, scatterer.Request{
 		ID:        "1",
 		Route:     rf.route,
