--- a/internal/transport/forwarder/records.go
+++ b/internal/transport/forwarder/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
@@ -21,10 +22,10 @@
 // maxReportedAttempts is the maximum number of attempts that one record describes.
 const maxReportedAttempts = 4
 
-// newOutcomeRecord returns the record of a request for the outcome report.
+// newOutcomeRecord returns the record of a request for the outcome report. What callers and replicas have sent is made UTF-8, as records are messages.
 func newOutcomeRecord(r *activeRequest, d *scatterer.Decision, latency time.Duration) *wire.OutcomeRecord {
 	record := &wire.OutcomeRecord{
-		RequestId: r.call.ID,
+		RequestId: strings.ToValidUTF8(r.call.ID, "?"),
 		Service:   r.request.Route.Name,
 		Outcome:   parser.OutcomeName(reportedOutcome(d)),
 		Reason:    string(d.Reason),
@@ -63,7 +64,8 @@
 		if len(lines) > maxReportedAttempts {
 			break
 		}
-		lines = append(lines, fmt.Sprintf("%s to %s of %s: %s %s after %.1f ms", a.attempt.Kind, a.attempt.Replica.ID, a.attempt.Service, a.outcome, a.cause, milliseconds(a.duration)))
+		cause := strings.ToValidUTF8(a.cause, "?")
+		lines = append(lines, fmt.Sprintf("%s to %s of %s: %s %s after %.1f ms", a.attempt.Kind, a.attempt.Replica.ID, a.attempt.Service, a.outcome, cause, milliseconds(a.duration)))
 	}
 	return lines
 }
