Reproduce an entry instance that knows no control instance any more

What the users saw: an instance in touch goes on handling requests by an old version. The test replaces the only control instance that an entry instance knows; a peer follows the successor.

--- a/internal/transport/forwarder/primary_test.go
+++ b/internal/transport/forwarder/primary_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	wireconnect.UnimplementedFleetServiceHandler
 
 	members *[]*wire.ControlMember
+	entries []*wire.EntryInstance
 	// entryInstances is the number of entry instances that it reports.
 	entryInstances uint32
 
@@ -27,6 +29,14 @@
 	version   uint64
 	confirmed bool
 	calls     int
+	// isGone is set if the instance has been replaced and answers no calls.
+	isGone bool
+}
+
+func (c *fleetControl) leave() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isGone = true
 }
 
 func (c *fleetControl) set(version uint64, confirmed bool) {
@@ -56,11 +66,15 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.isGone {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("gone"))
+	}
 	c.calls++
 	response := wholeState(stateIndex)
 	response.Version = c.version
 	response.Confirmed = c.confirmed
 	response.Members = *c.members
+	response.Entries = c.entries
 	response.Followers = c.entryInstances
 	return connect.NewResponse(response), nil
 }
@@ -128,3 +142,55 @@
 		t.Errorf("in force after %s, want at most %s", took, inForceWithin)
 	}
 }
+
+// TestVersionInForceWithoutKnownControl guards against an entry instance that goes on with an old version for good, because all control instances that it knows were replaced while it was cut off.
+func TestVersionInForceWithoutKnownControl(t *testing.T) {
+	const inForceWithin = 4 * time.Second
+	peer := newTestForwarder(t, "peer", "a")
+	oldMembers, newMembers := []*wire.ControlMember{}, []*wire.ControlMember{}
+	replaced := &fleetControl{
+		members:   &oldMembers,
+		version:   stateVersion,
+		confirmed: true,
+		entries: []*wire.EntryInstance{{
+			Instance: "peer",
+			Zone:     "a",
+			Address:  peer.peers.server.Address(),
+		}},
+		entryInstances: 2,
+	}
+	successor := &fleetControl{
+		members:   &newMembers,
+		version:   stateVersion + 1,
+		confirmed: true,
+	}
+	oldMembers = append(oldMembers, &wire.ControlMember{
+		Id:      "replaced",
+		Address: listenFleet(t, replaced),
+		Zone:    "a",
+	})
+	newMembers = append(newMembers, &wire.ControlMember{
+		Id:      "successor",
+		Address: listenFleet(t, successor),
+		Zone:    "a",
+	})
+	f := newFollowingForwarder(t, "entry-1", "a", oldMembers[0].GetAddress())
+	awaitReady(t, f, awaitTimeout)
+	awaitCondition(t, "long polls", awaitTimeout, func() bool { return replaced.callCount() > 2 })
+	replaced.leave()
+	// The peer has followed the successor.
+	state := wholeState(stateIndex + 1)
+	state.Members = newMembers
+	state.Confirmed = true
+	peer.directory.apply(state)
+	if err := peer.directory.installConfig(&wire.Publication{
+		Version: stateVersion + 1,
+	}, "test"); err != nil {
+		t.Fatal(err)
+	}
+	took := awaitCondition(t, "the new version", awaitTimeout, func() bool { return f.directory.currentVersion() == stateVersion+1 })
+	if took > inForceWithin {
+		t.Errorf("in force after %s, want at most %s", took, inForceWithin)
+	}
+	awaitCondition(t, "a call of the successor", awaitTimeout, func() bool { return successor.callCount() > 0 })
+}
