Take the state from peers while no control instance answers

Callers saw: an instance in touch goes on handling requests by an old version.

Cause: an entry instance that is cut off while control instances are replaced knows none of the new ones afterwards, and nobody tells it: only control names control instances. Class: knowledge that can be renewed only by those whom it names.

While no control instance has answered for 1.5 s, a peer is asked once a second for what has changed, every other time one of the own availability zone; its state names the current control instances, which are then polled. subscriber.Fallback, pure, decides when and whom; it answers the load of a control that is lost or cut off, with one call a second from each entry instance.

--- a/internal/transport/forwarder/directory.go
+++ b/internal/transport/forwarder/directory.go
@@ -43,6 +43,7 @@
 // directory keeps the replica table and the routing configuration up to date. A fetcher gets the first state. After that each control instance has a poller: the primary is long-polled for updates, the others are polled at intervals.
 type directory struct {
 	forwarder *Forwarder
+	instance  string
 	startedAt time.Time
 	// entryInstances is the number of entry instances that share the connections to replicas, assumedConnectingInstances until control reports it. instanceCount delays decreases of the reported number.
 	entryInstances atomic.Int64
@@ -50,6 +51,8 @@
 	// atomicIndex is a copy of index for readers that don't hold the mutex.
 	atomicIndex atomic.Uint64
 	fetcher     *stateFetcher
+	// peerFollower takes the place of the control instances while none answers.
+	peerFollower *peerFollower
 	// initializedSignal is closed when the instance has its first state and the pollers may start.
 	initializedSignal chan struct{}
 	// stateCalls limits the calls of peers for the state.
@@ -57,6 +60,7 @@
 
 	mutex      sync.Mutex
 	subscriber *subscriber.Subscriber
+	fallback   *subscriber.Fallback
 	// hasTable is set once a complete replica table was received; index is the journal index of the table. initialized is set once the instance may also serve with it.
 	hasTable    bool
 	initialized bool
@@ -93,7 +97,9 @@
 func newDirectory(f *Forwarder) *directory {
 	d := &directory{
 		forwarder:   f,
+		instance:    f.settings.Instance,
 		subscriber:  subscriber.New(f.settings.Instance, f.settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		fallback:    subscriber.NewFallback(f.settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		startedAt:   time.Now(),
 		replicas:    map[string]*wire.Replica{},
 		pollers:     map[string]*controlPoller{},
@@ -103,6 +109,7 @@
 		initializedSignal: make(chan struct{}),
 	}
 	d.fetcher = newStateFetcher(d)
+	d.peerFollower = newPeerFollower(d)
 	d.instanceCount = limiter.NewInstanceCount(assumedRetryingInstances)
 	d.entryInstances.Store(assumedConnectingInstances)
 	return d
@@ -112,6 +119,7 @@
 	settings := d.forwarder.currentSettings()
 	d.addControlInstances(checker.ReplacePort(settings.ControlSeeds, settings.ControlPeers))
 	go d.fetcher.run()
+	go d.peerFollower.run()
 }
 
 func (d *directory) isInitialized() bool {
@@ -202,6 +210,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.fallback.RecordAnswer(time.Now())
 	if next := d.pollers[d.subscriber.RecordAnswer(address, confirmed)]; next != nil {
 		next.wake()
 	}
@@ -232,6 +241,7 @@
 		poller.cancel()
 	}
 	<-d.fetcher.done
+	d.peerFollower.close()
 	for _, poller := range pollers {
 		<-poller.done
 	}
--- a/internal/transport/forwarder/state_fetcher.go
+++ b/internal/transport/forwarder/state_fetcher.go
@@ -103,7 +103,7 @@
 func (s *stateFetcher) askPeers(peers []*wire.EntryInstance) {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), maxPeerStateCalls)] {
-		err := s.askPeer(peer)
+		err := s.directory.askPeer(s.ctx, peer)
 		if err == nil {
 			return
 		}
@@ -112,9 +112,8 @@
 }
 
 // askPeer asks a peer for its state and applies it.
-func (s *stateFetcher) askPeer(peer *wire.EntryInstance) error {
-	d := s.directory
-	ctx, cancel := withAnswerTimeout(s.ctx, peerAnswerTimeout)
+func (d *directory) askPeer(ctx context.Context, peer *wire.EntryInstance) error {
+	ctx, cancel := withAnswerTimeout(ctx, peerAnswerTimeout)
 	defer cancel()
 	// The table is compressed already.
 	client := wireconnect.NewRelayServiceClient(d.forwarder.peers.client, "http://"+peer.GetAddress(), connect.WithAcceptCompression("gzip", nil, nil))
