--- a/internal/transport/forwarder/ending.go
+++ b/internal/transport/forwarder/ending.go
@@ -35,5 +35,8 @@
 func (e *ending) start(killedAt time.Time) func() bool {
 	at := killedAt.Add(-finalAnswerTime)
 	e.at.Store(&at)
-	return time.AfterFunc(time.Until(at), e.cancel).Stop
+	return time.AfterFunc(time.Until(at), e.reach).Stop
 }
+
+// reach ends the waiting for the requests in flight.
+func (e *ending) reach() { e.cancel() }
--- a/internal/transport/forwarder/primary_test.go
+++ b/internal/transport/forwarder/primary_test.go
@@ -94,12 +94,12 @@
 }
 
 // awaitCondition waits until the condition holds and returns how long that took.
-func awaitCondition(t *testing.T, what string, within time.Duration, condition func() bool) time.Duration {
+func awaitCondition(t *testing.T, what string, condition func() bool) time.Duration {
 	t.Helper()
 	started := time.Now()
 	for !condition() {
-		if time.Since(started) > within {
-			t.Fatalf("%s: not within %s", what, within)
+		if time.Since(started) > awaitTimeout {
+			t.Fatalf("%s: not within %s", what, awaitTimeout)
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -133,11 +133,12 @@
 	}
 	f := newFollowingForwarder(t, "entry-1", "a", members[0].GetAddress())
 	awaitReady(t, f, awaitTimeout)
-	awaitCondition(t, "a poll of the other control instance", awaitTimeout, func() bool { return other.callCount() > 0 })
-	awaitCondition(t, "long polls", awaitTimeout, func() bool { return followed.callCount() > 2 })
+	awaitCondition(t, "a poll of the other control instance", func() bool { return other.callCount() > 0 })
+	awaitCondition(t, "long polls", func() bool { return followed.callCount() > 2 })
 	followed.set(stateVersion, false)
 	other.set(stateVersion+1, true)
-	took := awaitCondition(t, "the new version", awaitTimeout, func() bool { return f.directory.currentVersion() == stateVersion+1 })
+	took := awaitCondition(t, "the new version", func() bool { return f.directory.currentVersion() == stateVersion+1 })
+	t.Logf("in force after %s", took)
 	if took > inForceWithin {
 		t.Errorf("in force after %s, want at most %s", took, inForceWithin)
 	}
@@ -176,7 +177,7 @@
 	})
 	f := newFollowingForwarder(t, "entry-1", "a", oldMembers[0].GetAddress())
 	awaitReady(t, f, awaitTimeout)
-	awaitCondition(t, "long polls", awaitTimeout, func() bool { return replaced.callCount() > 2 })
+	awaitCondition(t, "long polls", func() bool { return replaced.callCount() > 2 })
 	replaced.leave()
 	// The peer has followed the successor.
 	state := wholeState(stateIndex + 1)
@@ -188,9 +189,10 @@
 	}, "test"); err != nil {
 		t.Fatal(err)
 	}
-	took := awaitCondition(t, "the new version", awaitTimeout, func() bool { return f.directory.currentVersion() == stateVersion+1 })
+	took := awaitCondition(t, "the new version", func() bool { return f.directory.currentVersion() == stateVersion+1 })
+	t.Logf("in force after %s", took)
 	if took > inForceWithin {
 		t.Errorf("in force after %s, want at most %s", took, inForceWithin)
 	}
-	awaitCondition(t, "a call of the successor", awaitTimeout, func() bool { return successor.callCount() > 0 })
+	awaitCondition(t, "a call of the successor", func() bool { return successor.callCount() > 0 })
 }
