--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -77,7 +77,7 @@
 	return peer
 }
 
-// ask sends the request to a peer. A request that may run more than once does not wait for the peer until its deadline, since its caller may still get an answer at the next try.
+// ask sends the request to a peer, and waits for the answer until this instance ends at most. A request that may run more than once does not wait for the peer until its deadline, since its caller may still get an answer at the next try.
 func (v *diversion) ask(ctx context.Context, peer *diverter.Peer) (*wire.DivertResponse, error) {
 	now := time.Now()
 	deadline := now.Add(v.request.Route.Timeout)
--- a/internal/transport/forwarder/ending.go
+++ b/internal/transport/forwarder/ending.go
@@ -8,7 +8,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 )
 
-// finalAnswerTime is how long before an instance is killed it answers the requests that are still in flight, so that their answers are written.
+// finalAnswerTime is how long before a stopping instance closes its connections it answers the requests that are still in flight.
 const finalAnswerTime = 200 * time.Millisecond
 
 // ending is the time at which an instance that is stopping answers the requests in flight.
@@ -31,9 +31,9 @@
 	return at == nil || scatterer.CanFinish(request, expectedWork, now, *at)
 }
 
-// start sets the time by that at which the instance is killed. It returns a function that releases the timer.
-func (e *ending) start(killedAt time.Time) func() bool {
-	at := killedAt.Add(-finalAnswerTime)
+// start sets the time by that at which the connections are closed. It returns a function that releases the timer.
+func (e *ending) start(closedAt time.Time) func() bool {
+	at := closedAt.Add(-finalAnswerTime)
 	e.at.Store(&at)
 	return time.AfterFunc(time.Until(at), e.reach).Stop
 }
