Apply replicas before the configuration that names them

Callers saw 503, no-replica, for a moment after a change: a request along a route of the new version found none of its replicas.

Cause: the configuration of a response was put in force before the response's replicas were applied; and as it is fetched after the response, it may be newer than the replicas in it. Class: two things that belong together are fetched apart and used one by one.

The replicas are applied first; if the configuration turns out to be newer than the response, the replicas are fetched once more before it comes into force. A failed fetch of the configuration no longer holds the replicas back.

--- a/internal/transport/forwarder/control_poller.go
+++ b/internal/transport/forwarder/control_poller.go
@@ -102,26 +102,32 @@
 	if longPoll {
 		holdDuration = longPollDuration
 	}
-	request := d.newFollowRequest(holdDuration, p.rosterDigest)
+	response, packed, err := p.follow(d.newFollowRequest(holdDuration, p.rosterDigest))
+	if err != nil {
+		return err
+	}
+	d.recordAnswer(p.address, response.GetConfirmed())
+	return p.apply(response, packed)
+}
+
+// follow calls the control instance for what has changed.
+func (p *controlPoller) follow(request *wire.FollowRequest) (*wire.FollowResponse, *packer.Packed, error) {
+	holdDuration := time.Duration(request.GetHoldMs()) * time.Millisecond
 	ctx, cancel := context.WithTimeout(p.ctx, holdDuration+followTimeout)
 	if !request.GetHeard() {
 		cancel()
-		ctx, cancel = withAnswerTimeout(p.ctx, d.fetcher.answerTimeout)
+		ctx, cancel = withAnswerTimeout(p.ctx, p.directory.fetcher.answerTimeout)
 	}
 	defer cancel()
 	response, err := p.client.Follow(ctx, connect.NewRequest(request))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	packed, err := packer.Expand(response.Msg)
-	if err != nil {
-		return err
-	}
-	d.recordAnswer(p.address, response.Msg.GetConfirmed())
-	return p.apply(response.Msg, packed)
+	return response.Msg, packed, err
 }
 
-// apply applies a response, after fetching a newer configuration if there is one. Until the directory is initialized, an unconfirmed state is held without being served with, unless acceptUnconfirmed allows it: the next response then needs to contain the changes only.
+// apply applies a response, and then a newer configuration if there is one, whose replicas are known by then. Until the directory is initialized, an unconfirmed state is held without being served with, unless acceptUnconfirmed allows it: the next response then needs to contain the changes only.
 func (p *controlPoller) apply(response *wire.FollowResponse, packed *packer.Packed) error {
 	d := p.directory
 	defer d.keepPacked(packed)
@@ -130,26 +136,37 @@
 		d.apply(response)
 		return nil
 	}
+	p.rosterDigest = response.GetRoster()
+	d.apply(response)
 	if response.GetVersion() > d.currentVersion() {
-		if err := p.fetchConfig(); err != nil {
+		if err := p.fetchConfig(response.GetVersion()); err != nil {
 			return err
 		}
 	}
-	p.rosterDigest = response.GetRoster()
-	d.apply(response)
 	d.markInitialized(p.address)
 	return nil
 }
 
-// fetchConfig fetches the control instance's configuration and makes it the current one unless one that is at least as new has been received meanwhile.
-func (p *controlPoller) fetchConfig() error {
+// fetchConfig fetches the control instance's configuration and makes it the current one unless one that is at least as new has been received meanwhile. If it is newer than the version of the last response, the replicas that it names may have been announced since and are fetched first.
+func (p *controlPoller) fetchConfig(respondedVersion uint64) error {
+	d := p.directory
 	ctx, cancel := context.WithTimeout(p.ctx, documentTimeout)
 	defer cancel()
-	response, err := p.documents.Document(ctx, connect.NewRequest(&wire.DocumentRequest{}))
+	document, err := p.documents.Document(ctx, connect.NewRequest(&wire.DocumentRequest{}))
 	if err != nil {
 		return err
 	}
-	return p.directory.installConfig(response.Msg.GetPublication(), p.address)
+	publication := document.Msg.GetPublication()
+	if publication.GetVersion() > respondedVersion {
+		response, packed, err := p.follow(d.newFollowRequest(0, p.rosterDigest))
+		if err != nil {
+			return err
+		}
+		p.rosterDigest = response.GetRoster()
+		d.apply(response)
+		d.keepPacked(packed)
+	}
+	return d.installConfig(publication, p.address)
 }
 
 // installConfig makes the publication of a control instance or a peer the current configuration, unless the current one is at least as new.
--- a/internal/transport/forwarder/primary_test.go
+++ b/internal/transport/forwarder/primary_test.go
@@ -196,3 +196,49 @@
 	}
 	awaitCondition(t, "a call of the successor", func() bool { return successor.callCount() > 0 })
 }
+
+// reshardingControl is a control instance at which a new version, and before that the replica that it names, arrive between the first response and the fetch of the configuration.
+type reshardingControl struct {
+	wireconnect.UnimplementedFleetServiceHandler
+
+	mutex     sync.Mutex
+	published bool
+}
+
+func (c *reshardingControl) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	response := wholeState(stateIndex)
+	response.Version = stateVersion
+	if c.published {
+		response = wholeState(stateIndex + 1)
+		response.Version = stateVersion + 1
+	}
+	response.Confirmed = true
+	return connect.NewResponse(response), nil
+}
+
+func (c *reshardingControl) Document(context.Context, *connect.Request[wire.DocumentRequest]) (*connect.Response[wire.DocumentResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.published = true
+	return connect.NewResponse(&wire.DocumentResponse{
+		Publication: &wire.Publication{
+			Version: stateVersion + 1,
+		},
+	}), nil
+}
+
+// TestVersionComesWithItsReplicas guards against an instance that serves by a version before it knows the replicas which that version names.
+func TestVersionComesWithItsReplicas(t *testing.T) {
+	for range 20 {
+		f := newFollowingForwarder(t, "entry-1", "a", listenFleet(t, &reshardingControl{}))
+		awaitReady(t, f, awaitTimeout)
+		f.directory.mutex.Lock()
+		version, index := f.directory.configVersion, f.directory.index
+		f.directory.mutex.Unlock()
+		if version > stateVersion && index <= stateIndex {
+			t.Fatalf("version %d is in force with the replicas as of index %d", version, index)
+		}
+	}
+}
