--- a/internal/state/journaler/membership_test.go
+++ b/internal/state/journaler/membership_test.go
@@ -74,12 +74,32 @@
 	}
 }
 
+// replacementCase replaces instances of an open cluster, one after the other.
+type replacementCase struct {
+	size, toleratedLosses int
+	replaced              []int
+}
+
+// run replaces the instances, with what happens after each, for several seeds, and then restarts all of them and loses as many disks as are to be borne.
+func (r replacementCase) run(t *testing.T, afterEach func(c *cluster)) {
+	t.Helper()
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("%d instances, seed %d", r.size, seed), func(t *testing.T) {
+			c := newOpenCluster(t, seed, r.size, r.toleratedLosses)
+			for _, i := range r.replaced {
+				c.replace(i, 1200*time.Millisecond)
+				afterEach(c)
+			}
+			c.acknowledge("after the replacements")
+			c.restartWithLostDisks(c.random.Perm(r.size)[:r.toleratedLosses]...)
+			c.checkRecovery()
+		})
+	}
+}
+
 // TestLostDiskAfterReplacements checks that instances which were replaced do not keep the quorum out of reach when others lose their disks.
 func TestLostDiskAfterReplacements(t *testing.T) {
-	for _, test := range []struct {
-		size, toleratedLosses int
-		replaced              []int
-	}{
+	for _, test := range []replacementCase{
 		{
 			size:            4,
 			toleratedLosses: 1,
@@ -96,19 +116,7 @@
 			replaced:        []int{0, 1, 2, 7, 6},
 		},
 	} {
-		for seed := range uint64(20) {
-			t.Run(fmt.Sprintf("%d instances, seed %d", test.size, seed), func(t *testing.T) {
-				c := newOpenCluster(t, seed, test.size, test.toleratedLosses)
-				for _, i := range test.replaced {
-					c.replace(i, 1200*time.Millisecond)
-					c.runFor(catchUpTime)
-				}
-				c.acknowledge("after the replacements")
-				lost := c.random.Perm(test.size)[:test.toleratedLosses]
-				c.restartWithLostDisks(lost...)
-				c.checkRecovery()
-			})
-		}
+		test.run(t, func(c *cluster) { c.runFor(catchUpTime) })
 	}
 }
 
@@ -172,10 +180,7 @@
 		splitDuration  = 3 * time.Second
 		leaderDuration = 2 * time.Second
 	)
-	for _, test := range []struct {
-		size, toleratedLosses int
-		replaced              []int
-	}{
+	for _, test := range []replacementCase{
 		{
 			size:            4,
 			toleratedLosses: 1,
@@ -186,21 +191,17 @@
 			toleratedLosses: 2,
 			replaced:        []int{0, 1, 2},
 		},
+		{
+			size:            6,
+			toleratedLosses: 2,
+			replaced:        []int{0, 1, 5},
+		},
 	} {
-		for seed := range uint64(20) {
-			t.Run(fmt.Sprintf("%d instances, seed %d", test.size, seed), func(t *testing.T) {
-				c := newOpenCluster(t, seed, test.size, test.toleratedLosses)
-				for _, i := range test.replaced {
-					c.replace(i, 1200*time.Millisecond)
-					c.partition()
-					c.runFor(splitDuration)
-					c.blockedLinks = map[string]bool{}
-					c.runFor(leaderDuration)
-				}
-				c.acknowledge("after the replacements")
-				c.restartWithLostDisks(c.random.Perm(test.size)[:test.toleratedLosses]...)
-				c.checkRecovery()
-			})
-		}
+		test.run(t, func(c *cluster) {
+			c.partition()
+			c.runFor(splitDuration)
+			c.blockedLinks = map[string]bool{}
+			c.runFor(leaderDuration)
+		})
 	}
 }
