--- a/internal/coordination/subscriber/fallback.go
+++ b/internal/coordination/subscriber/fallback.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// fallbackDelay is how long no control instance has answered until peers are asked. Together with fallbackInterval it leaves half of the 4 s within which a change has to be in force.
+	// fallbackDelay is how long no control instance has answered until peers are asked. Two calls then still fit into the 4 s within which a change has to be in force.
 	fallbackDelay = 1500 * time.Millisecond
 	// fallbackInterval is the time between two calls of peers. It bounds the load on peers while all of control is down to one call a second from each entry instance.
 	fallbackInterval = time.Second
