--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -37,6 +37,7 @@
 	"late":    playLate,
 	"lost":    playLost,
 	"slashes": playSlashes,
+	"gone":    playGone,
 }
 
 func main() {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -32,6 +32,9 @@
 	acked      atomic.Int64
 	refused    atomic.Int64
 	served     atomic.Int64
+	// slots limits the requests that run at once, and onReach is told of each that arrives; both may be nil.
+	slots   chan struct{}
+	onReach func(id string)
 	// isSound is set if the replica never loses an answer.
 	isSound bool
 }
@@ -123,7 +126,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	time.Sleep(5 * time.Millisecond)
+	if r.onReach != nil {
+		r.onReach(id)
+		r.deployment.record.note("request %s reaches replica %s", id, r.id)
+	}
+	if r.slots == nil {
+		time.Sleep(5 * time.Millisecond)
+	} else {
+		r.slots <- struct{}{}
+		time.Sleep(jobWork)
+		<-r.slots
+	}
 	r.served.Add(1)
 	r.deployment.record.note("replica %s runs %s, id %s", r.id, request.URL.Path, id)
 	if r.deployment.loser.loses(r, r.isSound) {
