--- a/review/rig/gone.go
+++ b/review/rig/gone.go
@@ -19,7 +19,7 @@
 	// allowedLate is how many requests may be later, "a few".
 	allowedLate = 5
 	// usualPerSecond is the usual traffic. It is burstFactor times as much for burstLength, from burstStart on.
-	usualPerSecond = 17
+	usualPerSecond = 34
 	burstFactor    = 1.7
 	burstStart     = 2 * time.Second
 	burstLength    = 3 * time.Second
@@ -84,7 +84,7 @@
 // playGone has many callers come at once, so that requests wait for connections to the replicas, and some of them leave.
 func playGone(d *deployment, trouble bool) int {
 	l := &leavings{leftAt: map[string]time.Time{}, reached: map[string]time.Time{}, runs: map[string]int{}}
-	for i := range 2 {
+	for i := range 4 {
 		r, err := startReplica(d, fmt.Sprintf("i-jobs-%d", i), "jobs", fmt.Sprintf("127.0.83.%d:0", i+1), zoneOf(i))
 		if err != nil {
 			fmt.Println(err)
