--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/pimentogate-machine ] && [ -x target/review-rig ] || exit 2
-exec target/review-rig slashes target/pimentogate-machine "$folder/record.txt"
+exec target/review-rig gone target/pimentogate-machine "$folder/record.txt"
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -38,6 +38,7 @@
 	"lost":    playLost,
 	"slashes": playSlashes,
 	"gone":    playGone,
+	"hangup":  playHangup,
 }
 
 func main() {
