Keep the signals registered for as long as an instance runs

Cause: the watcher of the settings registered SIGHUP after the instance had started and released it before the instance was shut down. A signal that nobody receives has its default effect, which ends the process. The same held while an instance starts, and at all times for the entry instance of the product's own interface, which registered no SIGHUP. Ruled out: the reload itself, which changes nothing of a drain; SIGTERM and SIGINT again, which were registered throughout (cases of the test passed before).

Change: the first step of each role registers the signals, and nothing releases them. Settings are reloaded until the instance has stopped.

Evidence: TestSignals failed before for entry and control in "hangup during the start", "hangups during the stop" and "all of them", with "signal: hangup"; TestRollingRestartAmongHangups failed with closed connections and status -1 for all four entry instances.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -411,6 +411,22 @@
 	return status
 }
 
+// terminateAmongHangups sends SIGHUP every few milliseconds, from before SIGTERM until the process is gone, and returns its exit status.
+func (p *process) terminateAmongHangups() int {
+	const pause = 5 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	process := p.cmd.Process
+	go func() {
+		for ctx.Err() == nil {
+			_ = process.Signal(syscall.SIGHUP)
+			time.Sleep(pause)
+		}
+	}()
+	time.Sleep(10 * pause)
+	return p.terminate()
+}
+
 // freeze suspends the process with SIGSTOP.
 func (p *process) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -17,11 +17,17 @@
 // TestRollingRestart restarts every entry and control instance in turn under load from a load balancer, and requires that no request fails.
 func TestRollingRestart(t *testing.T) {
 	for _, policy := range []string{"two-choices", "owner"} {
-		t.Run(policy, func(t *testing.T) { restartAll(t, policy) })
+		t.Run(policy, func(t *testing.T) { restartAll(t, policy, (*process).terminate) })
 	}
 }
 
-func restartAll(t *testing.T, policy string) {
+// TestRollingRestartAmongHangups guards against a hangup signal that ends an instance at once, before or during its stop, with its requests in flight.
+func TestRollingRestartAmongHangups(t *testing.T) {
+	restartAll(t, "two-choices", (*process).terminateAmongHangups)
+}
+
+// restartAll restarts all instances, each of which stop ends, returning its exit status.
+func restartAll(t *testing.T, policy string, stop func(p *process) int) {
 	f := newFleet(t, topology{
 		policy:   policy,
 		controls: 3,
@@ -34,7 +40,7 @@
 	})
 	b := startBalancer(t, f.entries)
 	for _, e := range f.entries {
-		if status := e.terminate(); status != 0 {
+		if status := stop(e); status != 0 {
 			t.Errorf("%s: exit status %d on shutdown, want 0", e.name, status)
 		}
 		e.start()
@@ -42,7 +48,7 @@
 	}
 	leader := f.waitLeader()
 	for _, c := range append([]*process{leader}, f.controls...) {
-		if status := c.terminate(); status != 0 {
+		if status := stop(c); status != 0 {
 			t.Errorf("%s: exit status %d on shutdown, want 0", c.name, status)
 		}
 		c.start()
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -7,9 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -85,6 +82,7 @@
 
 // RunEntry runs a forwarding entry instance until the process receives SIGTERM or SIGINT.
 func (l *Launcher) RunEntry(flags *flag.FlagSet, arguments []string) error {
+	signals := NewSignals()
 	settings, path, err := ReadSettings(flags, arguments, "forwarding entry", checker.ReadForwarder)
 	if err != nil {
 		return err
@@ -96,9 +94,10 @@
 		return err
 	}
 	g := newGarbageCollector(f.InFlight)
-	w := newWatcher(path, checker.ReadForwarder, f.Reload, log)
-	WaitForSignal(nil)
-	w.close()
+	w := newWatcher(path, checker.ReadForwarder, f.Reload, signals.hangups, log)
+	// Settings are reloaded until the instance has stopped, since callers are served until then.
+	defer w.close()
+	signals.WaitForStop(nil)
 	g.close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(settings.GraceMs)*time.Millisecond-shutdownMargin)
 	defer cancel()
@@ -109,6 +108,7 @@
 // RunControl runs a control instance until the process receives SIGTERM or SIGINT, or the instance stops by
 // itself.
 func (l *Launcher) RunControl(flags *flag.FlagSet, arguments []string) error {
+	signals := NewSignals()
 	settings, path, err := ReadSettings(flags, arguments, "control", checker.ReadControl)
 	if err != nil {
 		return err
@@ -134,9 +134,9 @@
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
-	w := newWatcher(path, checker.ReadControl, c.Reload, log)
-	WaitForSignal(c.Done())
-	w.close()
+	w := newWatcher(path, checker.ReadControl, c.Reload, signals.hangups, log)
+	defer w.close()
+	signals.WaitForStop(c.Done())
 	servers.close()
 	return c.Close()
 }
@@ -181,13 +181,3 @@
 	_ = p.api.Shutdown(ctx)
 	p.metrics.Close()
 }
-
-// WaitForSignal returns when the process receives SIGTERM or SIGINT, or when stopped is closed.
-func WaitForSignal(stopped <-chan struct{}) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case <-signals:
-	case <-stopped:
-	}
-}
--- a/internal/transport/launcher/launcher_test.go
+++ b/internal/transport/launcher/launcher_test.go
@@ -60,7 +60,7 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		levels = append(levels, settings.LogLevel)
-	}, logr.Discard())
+	}, nil, logr.Discard())
 	defer w.close()
 	waitForApplied := func(want int) bool {
 		deadline := time.Now().Add(3 * pollPeriod)
--- /dev/null
+++ b/internal/transport/launcher/signals_test.go
@@ -0,0 +1,193 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"pimentogate.example/pimentogate/internal/transport/controller"
+	"pimentogate.example/pimentogate/internal/transport/forwarder"
+)
+
+const (
+	// argumentsVariable makes the test binary run an instance with these arguments instead of the tests.
+	argumentsVariable = "LAUNCHER_TEST_ARGUMENTS"
+	// hangupVariable makes the instance send itself SIGHUP while it starts.
+	hangupVariable = "LAUNCHER_TEST_HANGUP"
+	slowAnswerTime = 800 * time.Millisecond
+	startTimeout   = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if arguments := os.Getenv(argumentsVariable); arguments != "" {
+		os.Exit(New(os.Stdout, os.Stderr, newSlowPlatform()).Run(strings.Fields(arguments)))
+	}
+	os.Exit(m.Run())
+}
+
+// newSlowPlatform returns a platform whose callers and operators are answered after slowAnswerTime.
+func newSlowPlatform() Platform {
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(slowAnswerTime)
+		w.WriteHeader(http.StatusOK)
+	})
+	raise := func() {
+		if os.Getenv(hangupVariable) != "" {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return Platform{
+		Forwarding: forwarder.Protocol{
+			CallerHandler: func(*forwarder.Forwarder) http.Handler {
+				raise()
+				return slow
+			},
+			ReadinessHandler: func(*forwarder.Forwarder) http.Handler { return slow },
+		},
+		Control: func(*controller.Controller, logr.Logger) http.Handler {
+			raise()
+			return slow
+		},
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.Addr().String()
+}
+
+// child is an instance that runs as a process of its own.
+type child struct {
+	cmd     *exec.Cmd
+	output  *os.File
+	address string
+}
+
+func startChild(t *testing.T, role, raise string) *child {
+	t.Helper()
+	folder := t.TempDir()
+	c := &child{
+		address: freeAddress(t),
+	}
+	settings := fmt.Sprintf(`{"instance": "e", "zone": "a", "listen-callers": %q, "listen-readiness": %q, "listen-metrics": %q, "control-seeds": ["127.0.0.1:1"], "control-peers": "127.0.0.1:1", "drain-ms": 300}`, c.address, freeAddress(t), freeAddress(t))
+	if role == "control" {
+		listen := freeAddress(t)
+		settings = fmt.Sprintf(`{"instance": "c", "zone": "a", "listen": %q, "data-folder": %q, "formation": {"seeds": [%q], "first-start": true}, "platform": {"listen": %q, "listen-metrics": %q}}`, listen, folder, listen, c.address, freeAddress(t))
+	}
+	path := filepath.Join(folder, role+".json")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer writer.Close()
+	c.output = reader
+	c.cmd = exec.Command(os.Args[0])
+	c.cmd.Env = append(os.Environ(), argumentsVariable+"="+role+" -settings "+path, hangupVariable+"="+raise)
+	c.cmd.Stdout, c.cmd.Stderr = writer, writer
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = c.cmd.Process.Kill()
+		_ = reader.Close()
+	})
+	return c
+}
+
+// waitListening reports whether the instance accepts connections before it ends or startTimeout has passed.
+func (c *child) waitListening() bool {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		conn, err := net.Dial("tcp", c.address)
+		if err == nil {
+			_ = conn.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// get sends a request and returns its status, 0 if the connection was closed without an answer.
+func (c *child) get(statuses chan<- int) {
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	response, err := client.Get("http://" + c.address + "/")
+	if err != nil {
+		statuses <- 0
+		return
+	}
+	_ = response.Body.Close()
+	statuses <- response.StatusCode
+}
+
+// sendUntil sends the signals in turn, with short pauses, until ctx is done.
+func (c *child) sendUntil(ctx context.Context, signals []os.Signal) {
+	for i := 0; len(signals) > 0 && ctx.Err() == nil; i++ {
+		_ = c.cmd.Process.Signal(signals[i%len(signals)])
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestSignals guards against a signal that ends an instance at once, with its requests in flight, because it is handled only between the start and the stop.
+func TestSignals(t *testing.T) {
+	cases := []struct {
+		name string
+		// raise is not empty if the instance receives SIGHUP while it starts.
+		raise string
+		// before are sent while a request is in flight, during from SIGTERM until the instance is gone.
+		before, during []os.Signal
+	}{
+		{"hangup during the start", "1", nil, nil},
+		{"hangups before the stop", "", []os.Signal{syscall.SIGHUP}, nil},
+		{"hangups during the stop", "", nil, []os.Signal{syscall.SIGHUP}},
+		{"terminated again during the stop", "", nil, []os.Signal{syscall.SIGTERM, syscall.SIGINT}},
+		{"all of them", "1", []os.Signal{syscall.SIGHUP}, []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}},
+	}
+	for _, role := range []string{"entry", "control"} {
+		for _, test := range cases {
+			t.Run(role+"/"+test.name, func(t *testing.T) {
+				t.Parallel()
+				c := startChild(t, role, test.raise)
+				if !c.waitListening() {
+					log, _ := io.ReadAll(c.output)
+					t.Fatalf("not started: %s", log)
+				}
+				statuses := make(chan int, 1)
+				go c.get(statuses)
+				ctx, cancel := context.WithTimeout(context.Background(), slowAnswerTime/2)
+				defer cancel()
+				c.sendUntil(ctx, test.before)
+				<-ctx.Done()
+				_ = c.cmd.Process.Signal(syscall.SIGTERM)
+				stopped, stop := context.WithCancel(context.Background())
+				go c.sendUntil(stopped, test.during)
+				status := <-statuses
+				err := c.cmd.Wait()
+				stop()
+				if status != http.StatusOK || err != nil {
+					t.Errorf("status %d, the process ended with %v; want status 200 and success", status, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/launcher/watcher.go
+++ b/internal/transport/launcher/watcher.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,23 +21,22 @@
 	// modTime is the modification time of the file at the last start or reload, whether or not its settings
 	// were valid.
 	modTime time.Time
-	hangups chan os.Signal
+	hangups <-chan os.Signal
 	stop    chan struct{}
 	done    chan struct{}
 }
 
-func newWatcher[T any](path string, read func(path string) (*T, error), apply func(settings *T), log logr.Logger) *watcher[T] {
+func newWatcher[T any](path string, read func(path string) (*T, error), apply func(settings *T), hangups <-chan os.Signal, log logr.Logger) *watcher[T] {
 	w := &watcher[T]{
 		path:    path,
 		read:    read,
 		apply:   apply,
 		log:     log,
 		modTime: modTimeOf(path),
-		hangups: make(chan os.Signal, 1),
+		hangups: hangups,
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	signal.Notify(w.hangups, syscall.SIGHUP)
 	go w.run()
 	return w
 }
@@ -76,7 +73,6 @@
 }
 
 func (w *watcher[T]) close() {
-	signal.Stop(w.hangups)
 	close(w.stop)
 	<-w.done
 }
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -29,6 +29,7 @@
 }
 
 func (o *Operator) runEntry(flags *flag.FlagSet, arguments []string) error {
+	signals := launcher.NewSignals()
 	settings, _, err := launcher.ReadSettings(flags, arguments, "entry", checker.ReadEntry)
 	if err != nil {
 		return err
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	launcher.WaitForSignal(nil)
+	signals.WaitForStop(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	return g.Shutdown(ctx)
