Outlive the reader of the log

What callers would see: all requests of an instance end with a closed connection when the process that reads its log ends.

The Go runtime ends the process by SIGPIPE when a write to standard output or standard error fails for want of a reader. Found as a related path, not reported.

Change: SIGPIPE is ignored, so that the write fails instead.

Evidence: TestSignals/entry/log_no_longer_read and the same for control ended with "signal: broken pipe" and status 0 before; both pass now.

--- a/internal/transport/launcher/signals.go
+++ b/internal/transport/launcher/signals.go
@@ -20,6 +20,8 @@
 	}
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.hangups, syscall.SIGHUP)
+	// A write of the log then fails instead of ending the process if its reader is gone.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/internal/transport/launcher/signals_test.go
+++ b/internal/transport/launcher/signals_test.go
@@ -156,12 +156,15 @@
 		raise string
 		// before are sent while a request is in flight, during from SIGTERM until the instance is gone.
 		before, during []os.Signal
+		// closesLog is set if nobody reads the log any more.
+		closesLog bool
 	}{
-		{"hangup during the start", "1", nil, nil},
-		{"hangups before the stop", "", []os.Signal{syscall.SIGHUP}, nil},
-		{"hangups during the stop", "", nil, []os.Signal{syscall.SIGHUP}},
-		{"terminated again during the stop", "", nil, []os.Signal{syscall.SIGTERM, syscall.SIGINT}},
-		{"all of them", "1", []os.Signal{syscall.SIGHUP}, []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}},
+		{"hangup during the start", "1", nil, nil, false},
+		{"hangups before the stop", "", []os.Signal{syscall.SIGHUP}, nil, false},
+		{"hangups during the stop", "", nil, []os.Signal{syscall.SIGHUP}, false},
+		{"terminated again during the stop", "", nil, []os.Signal{syscall.SIGTERM, syscall.SIGINT}, false},
+		{"all of them", "1", []os.Signal{syscall.SIGHUP}, []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}, false},
+		{"log no longer read", "", []os.Signal{syscall.SIGHUP}, nil, true},
 	}
 	for _, role := range []string{"entry", "control"} {
 		for _, test := range cases {
@@ -172,6 +175,9 @@
 					log, _ := io.ReadAll(c.output)
 					t.Fatalf("not started: %s", log)
 				}
+				if test.closesLog {
+					_ = c.output.Close()
+				}
 				statuses := make(chan int, 1)
 				go c.get(statuses)
 				ctx, cancel := context.WithTimeout(context.Background(), slowAnswerTime/2)
