Keep the stand-in upstream running on SIGHUP

The settings page says of the product's entry instance, too, that a changed file needs a restart.

Evidence: TestRollingRestartAmongHangups, which now sends SIGHUP to the stand-ins too, failed before and passes now.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -46,6 +46,8 @@
 }
 
 func run(settings *checker.StandinSettings) error {
+	// The settings are read once only, and a hangup would otherwise end the process with its requests in flight.
+	signal.Ignore(syscall.SIGHUP)
 	r, err := responder.New(settings, logger.New(os.Stderr, settings.LogLevel))
 	if err != nil {
 		return err
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -39,6 +40,10 @@
 		workMs: 250,
 	})
 	b := startBalancer(t, f.entries)
+	for _, s := range f.standins {
+		// A stand-in keeps its settings, and must not end by the signal either.
+		must(t, s.cmd.Process.Signal(syscall.SIGHUP))
+	}
 	for _, e := range f.entries {
 		if status := stop(e); status != 0 {
 			t.Errorf("%s: exit status %d on shutdown, want 0", e.name, status)
