Stop within the grace period of the settings in force

What callers would see: requests in flight are cut, or an instance is killed in its drain, if the grace period has changed since the instance started.

Cause: the stop took the period of the settings at the start, and the drain within it that of the settings in force; SETTINGS.md promises the latter.

Evidence: TestStopUsesReloadedGracePeriod failed before (the connection was closed without an answer) and passes now.

--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -215,6 +215,11 @@
 	return f.settings
 }
 
+// GracePeriod returns how long a shutdown may take by the current settings.
+func (f *Forwarder) GracePeriod() time.Duration {
+	return time.Duration(f.currentSettings().GraceMs) * time.Millisecond
+}
+
 // Shutdown drains the instance and stops it once every request in flight is answered. Shortly before the deadline of ctx, the requests still in flight are answered with what has arrived by then.
 func (f *Forwarder) Shutdown(ctx context.Context) {
 	f.log.Info("stopping")
@@ -245,5 +250,5 @@
 	if settings.DrainMs > 0 {
 		return time.Duration(settings.DrainMs) * time.Millisecond
 	}
-	return time.Duration(settings.GraceMs) * time.Millisecond / 2
+	return f.GracePeriod() / 2
 }
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -99,7 +99,7 @@
 	defer w.close()
 	signals.WaitForStop(nil)
 	g.close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(settings.GraceMs)*time.Millisecond-shutdownMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), f.GracePeriod()-shutdownMargin)
 	defer cancel()
 	f.Shutdown(ctx)
 	return nil
--- a/internal/transport/launcher/signals_test.go
+++ b/internal/transport/launcher/signals_test.go
@@ -78,21 +78,23 @@
 	cmd     *exec.Cmd
 	output  *os.File
 	address string
+	// path is that of the settings file.
+	path string
 }
 
-func startChild(t *testing.T, role, raise string) *child {
+func startChild(t *testing.T, role, raise string, graceMs int) *child {
 	t.Helper()
 	folder := t.TempDir()
 	c := &child{
 		address: freeAddress(t),
 	}
-	settings := fmt.Sprintf(`{"instance": "e", "zone": "a", "listen-callers": %q, "listen-readiness": %q, "listen-metrics": %q, "control-seeds": ["127.0.0.1:1"], "control-peers": "127.0.0.1:1", "drain-ms": 300}`, c.address, freeAddress(t), freeAddress(t))
+	settings := fmt.Sprintf(`{"instance": "e", "zone": "a", "listen-callers": %q, "listen-readiness": %q, "listen-metrics": %q, "control-seeds": ["127.0.0.1:1"], "control-peers": "127.0.0.1:1", "drain-ms": 300, "grace-ms": %d}`, c.address, freeAddress(t), freeAddress(t), graceMs)
 	if role == "control" {
 		listen := freeAddress(t)
 		settings = fmt.Sprintf(`{"instance": "c", "zone": "a", "listen": %q, "data-folder": %q, "formation": {"seeds": [%q], "first-start": true}, "platform": {"listen": %q, "listen-metrics": %q}}`, listen, folder, listen, c.address, freeAddress(t))
 	}
-	path := filepath.Join(folder, role+".json")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+	c.path = filepath.Join(folder, role+".json")
+	if err := os.WriteFile(c.path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	reader, writer, err := os.Pipe()
@@ -102,7 +104,7 @@
 	defer writer.Close()
 	c.output = reader
 	c.cmd = exec.Command(os.Args[0])
-	c.cmd.Env = append(os.Environ(), argumentsVariable+"="+role+" -settings "+path, hangupVariable+"="+raise)
+	c.cmd.Env = append(os.Environ(), argumentsVariable+"="+role+" -settings "+c.path, hangupVariable+"="+raise)
 	c.cmd.Stdout, c.cmd.Stderr = writer, writer
 	if err := c.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -170,7 +172,7 @@
 		for _, test := range cases {
 			t.Run(role+"/"+test.name, func(t *testing.T) {
 				t.Parallel()
-				c := startChild(t, role, test.raise)
+				c := startChild(t, role, test.raise, 6000)
 				if !c.waitListening() {
 					log, _ := io.ReadAll(c.output)
 					t.Fatalf("not started: %s", log)
@@ -197,3 +199,27 @@
 		}
 	}
 }
+
+// TestStopUsesReloadedGracePeriod guards against requests that are cut when an instance stops within the grace period of its first settings, though that has become longer.
+func TestStopUsesReloadedGracePeriod(t *testing.T) {
+	c := startChild(t, "entry", "", 500)
+	if !c.waitListening() {
+		t.Fatal("not started")
+	}
+	settings, err := os.ReadFile(c.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(settings), `"grace-ms": 500`, `"grace-ms": 6000`, 1)
+	if err := os.WriteFile(c.path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.cmd.Process.Signal(syscall.SIGHUP)
+	statuses := make(chan int, 1)
+	go c.get(statuses)
+	time.Sleep(slowAnswerTime / 4)
+	_ = c.cmd.Process.Signal(syscall.SIGTERM)
+	if status := <-statuses; status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+}
