Apply a change of the settings that comes while an instance starts

What operators would see: a file that changes without a signal, between being read and the end of the start, is ignored until it changes again.

Cause: the watcher took the modification time after the start, not before it read the file.

Evidence: TestWatcherReloadsChangedFile with a change during the start failed with the modification time taken at the start of the watcher, and passes now.

--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -83,7 +83,8 @@
 // RunEntry runs a forwarding entry instance until the process receives SIGTERM or SIGINT.
 func (l *Launcher) RunEntry(flags *flag.FlagSet, arguments []string) error {
 	signals := NewSignals()
-	settings, path, err := ReadSettings(flags, arguments, "forwarding entry", checker.ReadForwarder)
+	w := newWatcher(checker.ReadForwarder, signals.hangups)
+	settings, _, err := ReadSettings(flags, arguments, "forwarding entry", w.read)
 	if err != nil {
 		return err
 	}
@@ -94,7 +95,7 @@
 		return err
 	}
 	g := newGarbageCollector(f.InFlight)
-	w := newWatcher(path, checker.ReadForwarder, f.Reload, signals.hangups, log)
+	w.start(f.Reload, log)
 	// Settings are reloaded until the instance has stopped, since callers are served until then.
 	defer w.close()
 	signals.WaitForStop(nil)
@@ -109,7 +110,8 @@
 // itself.
 func (l *Launcher) RunControl(flags *flag.FlagSet, arguments []string) error {
 	signals := NewSignals()
-	settings, path, err := ReadSettings(flags, arguments, "control", checker.ReadControl)
+	w := newWatcher(checker.ReadControl, signals.hangups)
+	settings, path, err := ReadSettings(flags, arguments, "control", w.read)
 	if err != nil {
 		return err
 	}
@@ -134,7 +136,7 @@
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
-	w := newWatcher(path, checker.ReadControl, c.Reload, signals.hangups, log)
+	w.start(c.Reload, log)
 	defer w.close()
 	signals.WaitForStop(c.Done())
 	servers.close()
--- a/internal/transport/launcher/launcher_test.go
+++ b/internal/transport/launcher/launcher_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestWatcherReloadsChangedFile checks that a changed file is applied without a signal, and that an invalid
-// one is not.
+// one is not. It guards against a change that is missed because it comes while the instance starts.
 func TestWatcherReloadsChangedFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "entry.json")
 	write := func(level string, modTime time.Time) {
@@ -56,11 +56,17 @@
 	write("info", start)
 	var mutex sync.Mutex
 	var levels []string
-	w := newWatcher(path, checker.ReadForwarder, func(settings *checker.ForwarderSettings) {
+	w := newWatcher(checker.ReadForwarder, nil)
+	if _, err := w.read(path); err != nil {
+		t.Fatal(err)
+	}
+	// The instance is still starting when its settings change.
+	write("debug", start.Add(time.Second))
+	w.start(func(settings *checker.ForwarderSettings) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		levels = append(levels, settings.LogLevel)
-	}, nil, logr.Discard())
+	}, logr.Discard())
 	defer w.close()
 	waitForApplied := func(want int) bool {
 		deadline := time.Now().Add(3 * pollPeriod)
@@ -75,10 +81,13 @@
 		}
 		return false
 	}
+	if !waitForApplied(1) {
+		t.Error("the change during the start was not applied")
+	}
 	write("loud", start.Add(time.Minute))
 	time.Sleep(pollPeriod + 200*time.Millisecond)
-	write("debug", start.Add(2*time.Minute))
-	if !waitForApplied(1) || levels[0] != "debug" {
-		t.Errorf("applied log levels %v, want debug only", levels)
+	write("info", start.Add(2*time.Minute))
+	if !waitForApplied(2) || levels[0] != "debug" || levels[1] != "info" {
+		t.Errorf("applied log levels %v, want debug and info only", levels)
 	}
 }
--- a/internal/transport/launcher/watcher.go
+++ b/internal/transport/launcher/watcher.go
@@ -15,30 +15,38 @@
 // its modification time changes.
 type watcher[T any] struct {
 	path  string
-	read  func(path string) (*T, error)
+	parse func(path string) (*T, error)
 	apply func(settings *T)
 	log   logr.Logger
-	// modTime is the modification time of the file at the last start or reload, whether or not its settings
-	// were valid.
+	// modTime is the modification time of the file before it was last read, whether or not its settings were
+	// valid.
 	modTime time.Time
 	hangups <-chan os.Signal
 	stop    chan struct{}
 	done    chan struct{}
 }
 
-func newWatcher[T any](path string, read func(path string) (*T, error), apply func(settings *T), hangups <-chan os.Signal, log logr.Logger) *watcher[T] {
-	w := &watcher[T]{
-		path:    path,
-		read:    read,
-		apply:   apply,
-		log:     log,
-		modTime: modTimeOf(path),
+// newWatcher returns a watcher of a settings file, which is first read by read and then watched from start on.
+func newWatcher[T any](parse func(path string) (*T, error), hangups <-chan os.Signal) *watcher[T] {
+	return &watcher[T]{
+		parse:   parse,
 		hangups: hangups,
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
+}
+
+// read reads the settings file at the path. Changes from then on are applied once the watcher has started.
+func (w *watcher[T]) read(path string) (*T, error) {
+	w.path = path
+	w.modTime = modTimeOf(path)
+	return w.parse(path)
+}
+
+func (w *watcher[T]) start(apply func(settings *T), log logr.Logger) {
+	w.apply = apply
+	w.log = log
 	go w.run()
-	return w
 }
 
 func (w *watcher[T]) run() {
@@ -62,7 +70,6 @@
 // reload reads the file and applies the settings. If the file is invalid it logs the error and keeps the
 // current settings.
 func (w *watcher[T]) reload(cause string) {
-	w.modTime = modTimeOf(w.path)
 	settings, err := w.read(w.path)
 	if err != nil {
 		w.log.Error(err, "failed to reload settings; keeping the current ones", "cause", cause)
