Ignore check-ins that can't come from a replica's successor

Cause: the table of replicas takes any later start time at an address, or under an id, for the successor of the replica there, whatever service it names, and marks the replica as left. Ruled out: the entry instances, which follow the table, and the order of check-ins by start time and sequence, which is needed for late ones.

Related paths, with the same effect: a check-in under the replica's own id in a service that is not named, and one that claims to be the same incarnation in another service or at another address, both also draining.

Change: before anything is committed, enroller.IsForeign compares a check-in with the replica in use that it would displace. In a service that is not named it displaces none; once a configuration names the service, or the other replica is lost or has left, the next check-in does. A foreign check-in is acknowledged, a foreign drain is answered 503, since a control instance that is behind might take a true one for foreign. What is committed is applied as before, so that builds do not diverge.

--- a/cmd/pimentogate-machine/main.go
+++ b/cmd/pimentogate-machine/main.go
@@ -26,6 +26,7 @@
 		Control: func(c *controller.Controller, log logr.Logger) http.Handler {
 			return platform.NewControlHandler(c, log)
 		},
+		ListServices: platform.ListServices,
 	}
 	os.Exit(launcher.New(os.Stdout, os.Stderr, adapter).Run(os.Args[1:]))
 }
--- a/internal/transport/assembler/assembler.go
+++ b/internal/transport/assembler/assembler.go
@@ -171,7 +171,7 @@
 	if err := storer.Form(settings.DataFolder, settings.Instance, settings.WireMembers()); err != nil {
 		return err
 	}
-	c, err := controller.New(settings, cl.config.Log, tally.NoopScope)
+	c, err := controller.New(settings, cl.config.Log, tally.NoopScope, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -96,6 +96,7 @@
 	drainRevision uint64
 	drainedZones  []string
 	journalClock  journalClock
+	namedServices namedServices
 }
 
 // waiter receives the result of a proposed entry once it is applied. The term tells whether the applied entry is the proposed one.
@@ -123,8 +124,8 @@
 	result  chan commandResult
 }
 
-// New opens the data folder and starts the instance, which reports its metrics to the scope.
-func New(settings *checker.ControlSettings, log logr.Logger, scope tally.Scope) (*Controller, error) {
+// New opens the data folder and starts the instance, which reports its metrics to the scope. services may be nil if no documents are published.
+func New(settings *checker.ControlSettings, log logr.Logger, scope tally.Scope, services ServiceLister) (*Controller, error) {
 	store, persisted, err := openWithRetry(settings, log)
 	if err != nil {
 		return nil, fmt.Errorf("control instance %s: %w", settings.Instance, err)
@@ -146,6 +147,9 @@
 		client:    listener.NewClientWithDialTimeout(dialTimeout),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
+		namedServices: namedServices{
+			list: services,
+		},
 	}
 	c.tables = newTables(c)
 	c.leaderChange = newChangeSignal()
--- a/internal/transport/controller/controller_test.go
+++ b/internal/transport/controller/controller_test.go
@@ -70,7 +70,7 @@
 			ElectionTimeoutMs: testElectionTimeoutMs,
 		}
 		check(t, storer.Form(settings.DataFolder, own.ID, wireMembers))
-		c, err := New(settings, logr.Discard(), tally.NoopScope)
+		c, err := New(settings, logr.Discard(), tally.NoopScope, nil)
 		check(t, err)
 		controls = append(controls, c)
 	}
@@ -181,7 +181,7 @@
 		t.Fatal("command not acknowledged after the disk recovered")
 	}
 	check(t, c.Close())
-	restarted, err := New(c.settings, logr.Discard(), tally.NoopScope)
+	restarted, err := New(c.settings, logr.Discard(), tally.NoopScope, nil)
 	check(t, err)
 	defer restarted.Close()
 	read, err := restarted.ReadDocument(t.Context())
@@ -199,7 +199,7 @@
 	check(t, os.RemoveAll(settings.DataFolder))
 	var identities []string
 	for range 2 {
-		c, err := New(settings, logr.Discard(), tally.NoopScope)
+		c, err := New(settings, logr.Discard(), tally.NoopScope, nil)
 		check(t, err)
 		identities = append(identities, c.id)
 		if c.machine.HasJoined() {
@@ -321,7 +321,7 @@
 	check(t, controls[0].Close())
 	before, err := controls[0].state.Snapshot()
 	check(t, err)
-	c, err := New(settings, logr.Discard(), tally.NoopScope)
+	c, err := New(settings, logr.Discard(), tally.NoopScope, nil)
 	check(t, err)
 	confirmAny(t, []*Controller{c}, "second", 1)
 	check(t, c.Close())
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -44,9 +44,16 @@
 	return connect.NewResponse(result.Publish), nil
 }
 
-// Enroll commits an announcement if this instance is the leader.
+// Enroll commits an announcement if this instance is the leader. A foreign one is treated as by Announce.
 func (s *fleetService) Enroll(ctx context.Context, request *connect.Request[wire.EnrollRequest]) (*connect.Response[wire.EnrollResponse], error) {
-	if _, err := s.controller.command(ctx, enrollCommand(request.Msg.GetReplica())); err != nil {
+	replica := request.Msg.GetReplica()
+	check, err := s.controller.checkAnnouncement(ctx, replica)
+	if err == nil && check.isForeign {
+		err = s.controller.ignoreForeign(replica)
+	} else if err == nil {
+		_, err = s.controller.command(ctx, enrollCommand(replica))
+	}
+	if err != nil {
 		return nil, s.controller.connectError(err)
 	}
 	return connect.NewResponse(&wire.EnrollResponse{}), nil
@@ -221,17 +228,19 @@
 	return result.Read.GetPublication(), err
 }
 
-// Announce records the state of a replica from its heartbeat or deregistration. New information is acknowledged once a quorum has stored it.
+// Announce records the state of a replica from its heartbeat or deregistration. New information is acknowledged once a quorum has stored it. A foreign announcement, as of enroller.IsForeign, changes nothing.
 func (c *Controller) Announce(ctx context.Context, replica *wire.Replica) error {
-	now := time.Now()
-	c.heartbeats.record(now, replica.GetId())
-	isUpdate := false
-	err := c.runInLoop(ctx, func(time.Time) {
-		isUpdate = c.state.Enroller.IsUpdate(enroller.WithColdEnd(replica, c.journalTime(time.Now())))
-	})
-	if err != nil || !isUpdate {
+	check, err := c.checkAnnouncement(ctx, replica)
+	if err != nil {
 		return err
 	}
+	if check.isForeign {
+		return c.ignoreForeign(replica)
+	}
+	c.heartbeats.record(time.Now(), replica.GetId())
+	if !check.isUpdate {
+		return nil
+	}
 	c.meter.announcements.Inc(1)
 	_, err = c.execute(ctx, enrollCommand(replica), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
 		_, err := client.Enroll(ctx, connect.NewRequest(&wire.EnrollRequest{
@@ -244,6 +253,46 @@
 	return err
 }
 
+// announcementCheck is what an announcement would do to the table of replicas.
+type announcementCheck struct {
+	isUpdate  bool
+	isForeign bool
+}
+
+func (c *Controller) checkAnnouncement(ctx context.Context, replica *wire.Replica) (announcementCheck, error) {
+	var check announcementCheck
+	err := c.runInLoop(ctx, func(time.Time) {
+		table := c.state.Enroller
+		check.isUpdate = table.IsUpdate(enroller.WithColdEnd(replica, c.journalTime(time.Now())))
+		check.isForeign = check.isUpdate && table.IsForeign(replica, func(service string) bool {
+			return c.namedServices.contains(c.state.Publisher.Publication(), service)
+		})
+	})
+	return check, err
+}
+
+// ForeignAnnouncementError reports that a drain was announced by a writer that does not speak for the replica in use.
+type ForeignAnnouncementError struct {
+	Replica string
+}
+
+// Error returns the id of the replica.
+func (e *ForeignAnnouncementError) Error() string {
+	return fmt.Sprintf("replica %s: the announcement contradicts a replica that is in use", e.Replica)
+}
+
+// ignoreForeign logs an announcement that changes nothing. A ready replica needs no more than that, since it announces itself again. A drain must not be acknowledged, because this instance may be behind and the replica in use elsewhere.
+func (c *Controller) ignoreForeign(replica *wire.Replica) error {
+	c.log.Info("foreign announcement ignored", "replica", replica.GetId(), "service", replica.GetService(), "address", replica.GetAddress(),
+		"state", wire.StateName(replica.GetState()), "born-ms", replica.GetBornMs(), "sequence", replica.GetSequence())
+	if replica.GetState() == wire.ReplicaState_REPLICA_STATE_READY {
+		return nil
+	}
+	return &ForeignAnnouncementError{
+		Replica: replica.GetId(),
+	}
+}
+
 // reportAttempts records the ends of attempts that change what is known of suspect requests, once a quorum has stored them.
 func (c *Controller) reportAttempts(ctx context.Context, report *wire.ReportAttemptsRequest) error {
 	news := &wire.ReportAttemptsRequest{
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -68,7 +68,7 @@
 
 func (cl *cluster) start(i int) {
 	cl.t.Helper()
-	c, err := New(cl.settings[i], testr.New(cl.t), tally.NoopScope)
+	c, err := New(cl.settings[i], testr.New(cl.t), tally.NoopScope, nil)
 	check(cl.t, err)
 	cl.controls[i] = c
 	cl.settings[i] = restartSettings(cl.settings[i])
--- a/internal/transport/gateway/control_test.go
+++ b/internal/transport/gateway/control_test.go
@@ -135,7 +135,7 @@
 			DataFolder:        folder,
 			Members:           members,
 			ElectionTimeoutMs: 500,
-		}, logr.Discard(), tally.NoopScope)
+		}, logr.Discard(), tally.NoopScope, nil)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -33,6 +33,8 @@
 	// Control returns the handler with which a control instance serves the operators and replicas of the
 	// platform. It is nil in a program without platform support.
 	Control func(c *controller.Controller, log logr.Logger) http.Handler
+	// ListServices returns the names of the services of a configuration; nil in a program without platform support.
+	ListServices controller.ServiceLister
 }
 
 // Launcher runs one instance.
@@ -128,7 +130,7 @@
 	defer boundedLog.Close()
 	metrics := reporter.New()
 	defer metrics.Close()
-	c, err := controller.New(settings, log, metrics.Scope)
+	c, err := controller.New(settings, log, metrics.Scope, l.platform.ListServices)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/operator/drains_test.go
+++ b/internal/transport/operator/drains_test.go
@@ -33,7 +33,7 @@
 			Seeds:      []string{host + ":1"},
 			FirstStart: true,
 		},
-	}, logr.Discard(), tally.NoopScope)
+	}, logr.Discard(), tally.NoopScope, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
