Let a replica return whose address was announced by one that is gone

What callers would see: a check-in under a service that is named, at the address of a replica in use, takes that replica out of use for good, though the other is never heard of again. So does a replica that has ended and whose start time is ahead of its successor's at the same address.

Change: a replica that leaves because of its address is marked as superseded. What has announced its drain or its departure stays so, as does one whose successor has left by itself. A lost holder supersedes nobody.

--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -44,11 +44,12 @@
 // IsUpdate reports whether the announcement would change the table and so must be committed to the journal.
 func (e *Enroller) IsUpdate(announcement *wire.Replica) bool {
 	existing := e.replicas[announcement.GetId()]
-	if isStale(announcement, existing) || e.isSuperseded(announcement) {
+	if e.isStale(announcement, existing) || e.isSuperseded(announcement) {
 		return false
 	}
 	return existing == nil || existing.GetBornMs() != announcement.GetBornMs() ||
 		existing.GetState() != announcement.GetState() ||
+		existing.GetSuperseded() ||
 		existing.GetService() != announcement.GetService() ||
 		existing.GetAddress() != announcement.GetAddress() ||
 		existing.GetZone() != announcement.GetZone() ||
@@ -85,8 +86,9 @@
 
 // isStale reports whether the existing record of a replica overrides the announcement. A later incarnation
 // overrides an earlier one, and within an incarnation a higher sequence overrides a lower one. A replica that
-// has left stays so until its next incarnation; one that is draining can only leave.
-func isStale(announcement, existing *wire.Replica) bool {
+// has left stays so until its next incarnation, unless it was superseded by one that is gone; one that is
+// draining can only leave.
+func (e *Enroller) isStale(announcement, existing *wire.Replica) bool {
 	if existing == nil {
 		return false
 	}
@@ -98,7 +100,7 @@
 	}
 	switch existing.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_LEFT:
-		return true
+		return !existing.GetSuperseded() || isInUse(announcement) && !e.canReturn(announcement) || isLost(announcement)
 	case wire.ReplicaState_REPLICA_STATE_DRAINING:
 		return announcement.GetState() != wire.ReplicaState_REPLICA_STATE_LEFT
 	default:
@@ -106,20 +108,36 @@
 	}
 }
 
-// isSuperseded reports whether the announcement's address is held by another replica that was started later.
+// canReturn reports whether a superseded replica that announces itself takes its address back: from a lost
+// replica, which has either ended or never was there, or from one that started earlier.
+func (e *Enroller) canReturn(announcement *wire.Replica) bool {
+	holder := e.replicas[e.byAddress[announcement.GetAddress()]]
+	return holder != nil && (isLost(holder) || holder.GetBornMs() < announcement.GetBornMs())
+}
+
+// isSuperseded reports whether the announcement's address is held by another replica that was started later
+// and is not lost. A departure takes no address.
 func (e *Enroller) isSuperseded(announcement *wire.Replica) bool {
+	if announcement.GetState() == wire.ReplicaState_REPLICA_STATE_LEFT {
+		return false
+	}
 	holder := e.replicas[e.byAddress[announcement.GetAddress()]]
-	return holder != nil && holder.GetId() != announcement.GetId() && holder.GetBornMs() > announcement.GetBornMs()
+	return holder != nil && holder.GetId() != announcement.GetId() && holder.GetBornMs() > announcement.GetBornMs() && !isLost(holder)
+}
+
+func isLost(record *wire.Replica) bool {
+	return record.GetState() == wire.ReplicaState_REPLICA_STATE_LOST
 }
 
 // markHolderLeft marks another replica at the address of the record as left, unless the record itself is of a
-// replica that has left.
+// replica that has left. A holder that has not announced its drain may return.
 func (e *Enroller) markHolderLeft(record *wire.Replica) {
 	holder := e.replicas[e.byAddress[record.GetAddress()]]
 	if holder == nil || holder.GetId() == record.GetId() || record.GetState() == wire.ReplicaState_REPLICA_STATE_LEFT {
 		return
 	}
 	updated := proto.CloneOf(holder)
+	updated.Superseded = holder.GetState() != wire.ReplicaState_REPLICA_STATE_DRAINING
 	updated.State = wire.ReplicaState_REPLICA_STATE_LEFT
 	updated.Index = record.GetIndex()
 	e.put(updated)
--- a/internal/state/enroller/enroller_test.go
+++ b/internal/state/enroller/enroller_test.go
@@ -44,6 +44,15 @@
 		{"late announcement of an earlier incarnation", []*wire.Replica{newAnnouncement("a", "1:1", 8, 1, ready), newAnnouncement("a", "1:1", 5, 9, left)}, map[string]wire.ReplicaState{"a": ready}},
 		{"reused address", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready)}, map[string]wire.ReplicaState{"a": left, "b": ready}},
 		{"late announcement of an earlier holder of the address", []*wire.Replica{newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("a", "1:1", 5, 1, ready)}, map[string]wire.ReplicaState{"b": ready}},
+		{"superseded by one that is lost", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": ready, "b": left}},
+		{"superseded, and again by the same", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, ready), newAnnouncement("b", "1:1", 8, 2, ready)}, map[string]wire.ReplicaState{"a": left, "b": ready}},
+		{"superseded, then drains", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, draining)}, map[string]wire.ReplicaState{"a": draining, "b": left}},
+		{"superseded while draining", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, draining), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": left, "b": lost}},
+		{"superseded, then left", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("a", "1:1", 5, 2, left), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": left, "b": lost}},
+		{"late heartbeat from before it was superseded", []*wire.Replica{newAnnouncement("a", "1:1", 5, 3, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": left, "b": lost}},
+		{"superseded, then taken for lost", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("a", "1:1", 5, 1, lost)}, map[string]wire.ReplicaState{"a": left, "b": lost}},
+		{"superseded by one that has left", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 2, left), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": left, "b": left}},
+		{"started before one that is lost at its address", []*wire.Replica{newAnnouncement("b", "1:1", 8, 1, ready), newAnnouncement("b", "1:1", 8, 1, lost), newAnnouncement("c", "1:1", 5, 1, ready)}, map[string]wire.ReplicaState{"b": left, "c": ready}},
 		{"lost, then ready again", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 5, 1, lost), newAnnouncement("a", "1:1", 5, 7, ready)}, map[string]wire.ReplicaState{"a": ready}},
 	}
 	for _, c := range cases {
@@ -121,3 +130,26 @@
 		t.Error("a replica that has not left was evicted")
 	}
 }
+
+// TestDeparturesAreFinal guards against an incarnation that is used again after it has announced its drain or departure, whatever happens to its address.
+func TestDeparturesAreFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(nil)
+		leaving := map[string]bool{}
+		for index := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			bornMs := rapid.Int64Range(1, 3).Draw(t, "born")
+			state := rapid.SampledFrom([]wire.ReplicaState{ready, ready, draining, left, lost}).Draw(t, "state")
+			announcement := newAnnouncement(id, "1:1", bornMs, rapid.Uint64Range(1, 9).Draw(t, "sequence"), state)
+			key := fmt.Sprint(id, bornMs)
+			if e.Enroll(announcement, uint64(index+1)) && (state == draining || state == left) {
+				leaving[key] = true
+			}
+			for _, replica := range e.Replicas(0) {
+				if leaving[fmt.Sprint(replica.GetId(), replica.GetBornMs())] && replica.GetState() == ready {
+					t.Fatalf("%s of %d is ready again", replica.GetId(), replica.GetBornMs())
+				}
+			}
+		}
+	})
+}
