Refuse a deregistration that may be of an earlier incarnation

Cause: the deregistration names no start time, and was taken for that of whatever incarnation the table held.

Change: the table keeps when an incarnation has replaced another of the same id. Control decides this, not the platform's adapter.

--- a/internal/state/applier/applier.go
+++ b/internal/state/applier/applier.go
@@ -77,7 +77,7 @@
 			},
 		}, nil
 	case *wire.Command_Enroll:
-		a.Enroller.Enroll(enroller.WithColdEnd(change.Enroll.GetReplica(), a.Ledger.NowMs()), entry.GetIndex())
+		a.Enroller.Enroll(enroller.WithTimes(change.Enroll.GetReplica(), a.Ledger.NowMs()), entry.GetIndex())
 		return Result{}, nil
 	case *wire.Command_ReportAttempts:
 		for _, attempt := range change.ReportAttempts.GetAttempts() {
--- a/internal/state/enroller/cold.go
+++ b/internal/state/enroller/cold.go
@@ -9,12 +9,13 @@
 // coldToleranceMs is by how much the end of a replica's warm-up may move without an entry in the journal: twice the second between heartbeats. Heartbeats that only count the warm-up down move it by less.
 const coldToleranceMs = 2000
 
-// WithColdEnd returns the announcement with the time at which the replica is warm, by how long it says that it stays cold. The time of a replica that says that it is warm is nowMs. Announcements that are not heartbeats are returned as they are, since they repeat what an earlier heartbeat said.
-func WithColdEnd(announcement *wire.Replica, nowMs int64) *wire.Replica {
+// WithTimes returns the announcement with its times by the clock of the journal: when the replica is warm, by how long it says that it stays cold, which is nowMs if it says that it is warm; and nowMs as the time at which its incarnation replaced another. Announcements that are not heartbeats are returned as they are, since they repeat what an earlier heartbeat said.
+func WithTimes(announcement *wire.Replica, nowMs int64) *wire.Replica {
 	switch announcement.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_READY, wire.ReplicaState_REPLICA_STATE_DRAINING:
 		converted := proto.CloneOf(announcement)
 		converted.ColdUntilMs = nowMs + int64(announcement.GetWarmupMs())
+		converted.ReplacedMs = nowMs
 		return converted
 	default:
 		return announcement
--- a/internal/state/enroller/cold_test.go
+++ b/internal/state/enroller/cold_test.go
@@ -33,7 +33,7 @@
 	}
 	e := New(nil)
 	for i, step := range steps {
-		announcement := WithColdEnd(&wire.Replica{
+		announcement := WithTimes(&wire.Replica{
 			Id:       "r1",
 			Address:  "10.0.0.1:1",
 			BornMs:   1 + step.bornChange,
@@ -57,7 +57,7 @@
 		WarmupMs:    5000,
 		ColdUntilMs: 7000,
 	}
-	if got := WithColdEnd(lost, 50_000).GetColdUntilMs(); got != 7000 {
+	if got := WithTimes(lost, 50_000).GetColdUntilMs(); got != 7000 {
 		t.Errorf("cold until %d, want 7000", got)
 	}
 }
--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -65,6 +65,7 @@
 	record := proto.CloneOf(announcement)
 	record.Index = index
 	e.keepColdEnd(record)
+	e.keepReplacementTime(record)
 	e.markHolderLeft(record)
 	e.put(record)
 	return true
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -253,6 +253,36 @@
 	return err
 }
 
+// AmbiguousDepartureError reports a departure that may be a late one of an earlier incarnation of the replica in use.
+type AmbiguousDepartureError struct {
+	Replica string
+}
+
+// Error returns the id of the replica.
+func (e *AmbiguousDepartureError) Error() string {
+	return fmt.Sprintf("replica %s: the departure may be of an earlier incarnation", e.Replica)
+}
+
+// Deregister announces that a replica has left, with the values last recorded of it. The departure has an id, and the start time and sequence of the incarnation where they are known. One that may be late for its incarnation returns an *AmbiguousDepartureError and changes nothing.
+func (c *Controller) Deregister(ctx context.Context, departure *wire.Replica) error {
+	var known *wire.Replica
+	isAmbiguous := false
+	err := c.runInLoop(ctx, func(time.Time) {
+		known = c.state.Enroller.Find(departure.GetId())
+		isAmbiguous = departure.GetBornMs() == 0 && enroller.IsDepartureAmbiguous(known, c.journalTime(time.Now()))
+	})
+	if err != nil {
+		return err
+	}
+	if isAmbiguous {
+		c.log.Info("departure refused", "replica", departure.GetId(), "born-ms", known.GetBornMs(), "replaced-ms", known.GetReplacedMs(), "reason", "may be of an earlier incarnation")
+		return &AmbiguousDepartureError{
+			Replica: departure.GetId(),
+		}
+	}
+	return c.Announce(ctx, enroller.CompleteDeparture(departure, known))
+}
+
 // announcementCheck is what an announcement would do to the table of replicas.
 type announcementCheck struct {
 	isUpdate  bool
@@ -263,7 +293,7 @@
 	var check announcementCheck
 	err := c.runInLoop(ctx, func(time.Time) {
 		table := c.state.Enroller
-		check.isUpdate = table.IsUpdate(enroller.WithColdEnd(replica, c.journalTime(time.Now())))
+		check.isUpdate = table.IsUpdate(enroller.WithTimes(replica, c.journalTime(time.Now())))
 		check.isForeign = check.isUpdate && table.IsForeign(replica, func(service string) bool {
 			return c.namedServices.contains(c.state.Publisher.Publication(), service)
 		})
