Let the leader decide which incarnation drains or has left

Cause: the control instance that received a departure without a start time completed it from its own table. If that was behind (restarted empty, cut off), the leader ignored the completed departure as one of an earlier or an unknown incarnation, and it was acknowledged. A drain was acknowledged without being committed if the table of the receiving instance showed a later replica at the address.

Change: the leader completes such a departure from its table, once it has a lease and has applied what is committed. A drain that the own table does not show as such is always committed.

Evidence: TestDepartureAtInstanceThatIsBehind failed before, with an unknown and with an earlier incarnation (the leader still had the replica ready), and passes now; TestOpenDrains holds the cases of drains.

--- a/internal/state/enroller/departure.go
+++ b/internal/state/enroller/departure.go
@@ -14,6 +14,18 @@
 	return known.GetReplacedMs() != 0 && nowMs-known.GetReplacedMs() < lateDepartureMs && known.GetState() != wire.ReplicaState_REPLICA_STATE_DRAINING
 }
 
+// IsOpenDrain reports whether the announcement is of a drain that the table does not show as such. It is committed although it changes nothing here, since this instance may be behind.
+func (e *Enroller) IsOpenDrain(announcement *wire.Replica) bool {
+	if announcement.GetState() != wire.ReplicaState_REPLICA_STATE_DRAINING {
+		return false
+	}
+	known := e.replicas[announcement.GetId()]
+	if known == nil || known.GetBornMs() != announcement.GetBornMs() {
+		return known.GetBornMs() <= announcement.GetBornMs()
+	}
+	return known.GetSuperseded() || known.GetState() != wire.ReplicaState_REPLICA_STATE_DRAINING && known.GetState() != wire.ReplicaState_REPLICA_STATE_LEFT
+}
+
 // CompleteDeparture returns the departure with the values last recorded of the replica, which is nil if it is not known. The departure may have its own start time and a higher sequence.
 func CompleteDeparture(departure, known *wire.Replica) *wire.Replica {
 	replica := proto.CloneOf(departure)
--- a/internal/state/enroller/departure_test.go
+++ b/internal/state/enroller/departure_test.go
@@ -68,3 +68,32 @@
 		}
 	}
 }
+
+// TestOpenDrains guards against a drain that is acknowledged without effect by an instance whose table is behind.
+func TestOpenDrains(t *testing.T) {
+	superseding := newAnnouncement("b", "1:1", 8, 1, ready)
+	cases := []struct {
+		name  string
+		steps []*wire.Replica
+		want  bool
+	}{
+		{"unknown", nil, true},
+		{"unknown, at the address of a later one", []*wire.Replica{superseding}, true},
+		{"ready", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready)}, true},
+		{"ready by a later announcement", []*wire.Replica{newAnnouncement("a", "1:1", 5, 9, ready)}, true},
+		{"superseded", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), superseding}, true},
+		{"earlier incarnation", []*wire.Replica{newAnnouncement("a", "1:1", 4, 1, left)}, true},
+		{"later incarnation", []*wire.Replica{newAnnouncement("a", "1:1", 6, 1, ready)}, false},
+		{"draining", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, draining)}, false},
+		{"left", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 5, 1, left)}, false},
+	}
+	for _, c := range cases {
+		e := New(nil)
+		for i, step := range c.steps {
+			e.Enroll(step, uint64(i+1))
+		}
+		if got := e.IsOpenDrain(newAnnouncement("a", "1:1", 5, 2, draining)); got != c.want {
+			t.Errorf("%s: open %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/transport/controller/fleet.go
+++ b/internal/transport/controller/fleet.go
@@ -10,7 +10,6 @@
 
 	"pimentogate.example/pimentogate/internal/coordination/admitter"
 	"pimentogate.example/pimentogate/internal/state/applier"
-	"pimentogate.example/pimentogate/internal/state/enroller"
 	"pimentogate.example/pimentogate/internal/state/journaler"
 	"pimentogate.example/pimentogate/internal/transport/packer"
 	"pimentogate.example/pimentogate/pkg/wire"
@@ -44,21 +43,6 @@
 	return connect.NewResponse(result.Publish), nil
 }
 
-// Enroll commits an announcement if this instance is the leader. A foreign one is treated as by Announce.
-func (s *fleetService) Enroll(ctx context.Context, request *connect.Request[wire.EnrollRequest]) (*connect.Response[wire.EnrollResponse], error) {
-	replica := request.Msg.GetReplica()
-	check, err := s.controller.checkAnnouncement(ctx, replica)
-	if err == nil && check.isForeign {
-		err = s.controller.ignoreForeign(replica)
-	} else if err == nil {
-		_, err = s.controller.command(ctx, enrollCommand(replica))
-	}
-	if err != nil {
-		return nil, s.controller.connectError(err)
-	}
-	return connect.NewResponse(&wire.EnrollResponse{}), nil
-}
-
 // ReportAttempts commits the ends of attempts of suspect requests, here or at the leader. A forwarded request is committed here or not at all.
 func (s *fleetService) ReportAttempts(ctx context.Context, request *connect.Request[wire.ReportAttemptsRequest]) (*connect.Response[wire.ReportAttemptsResponse], error) {
 	var err error
@@ -228,101 +212,6 @@
 	return result.Read.GetPublication(), err
 }
 
-// Announce records the state of a replica from its heartbeat or deregistration. New information is acknowledged once a quorum has stored it. A foreign announcement, as of enroller.IsForeign, changes nothing.
-func (c *Controller) Announce(ctx context.Context, replica *wire.Replica) error {
-	check, err := c.checkAnnouncement(ctx, replica)
-	if err != nil {
-		return err
-	}
-	if check.isForeign {
-		return c.ignoreForeign(replica)
-	}
-	c.heartbeats.record(time.Now(), replica.GetId())
-	if !check.isUpdate {
-		return nil
-	}
-	c.meter.announcements.Inc(1)
-	_, err = c.execute(ctx, enrollCommand(replica), func(ctx context.Context, client wireconnect.FleetServiceClient) (applier.Result, error) {
-		_, err := client.Enroll(ctx, connect.NewRequest(&wire.EnrollRequest{
-			Replica: replica,
-		}))
-		return applier.Result{}, err
-	})
-	c.log.Info("replica announced", "replica", replica.GetId(), "service", replica.GetService(), "address", replica.GetAddress(),
-		"state", wire.StateName(replica.GetState()), "born-ms", replica.GetBornMs(), "sequence", replica.GetSequence(), "acknowledged", err == nil)
-	return err
-}
-
-// AmbiguousDepartureError reports a departure that may be a late one of an earlier incarnation of the replica in use.
-type AmbiguousDepartureError struct {
-	Replica string
-}
-
-// Error returns the id of the replica.
-func (e *AmbiguousDepartureError) Error() string {
-	return fmt.Sprintf("replica %s: the departure may be of an earlier incarnation", e.Replica)
-}
-
-// Deregister announces that a replica has left, with the values last recorded of it. The departure has an id, and the start time and sequence of the incarnation where they are known. One that may be late for its incarnation returns an *AmbiguousDepartureError and changes nothing.
-func (c *Controller) Deregister(ctx context.Context, departure *wire.Replica) error {
-	var known *wire.Replica
-	isAmbiguous := false
-	err := c.runInLoop(ctx, func(time.Time) {
-		known = c.state.Enroller.Find(departure.GetId())
-		isAmbiguous = departure.GetBornMs() == 0 && enroller.IsDepartureAmbiguous(known, c.journalTime(time.Now()))
-	})
-	if err != nil {
-		return err
-	}
-	if isAmbiguous {
-		c.log.Info("departure refused", "replica", departure.GetId(), "born-ms", known.GetBornMs(), "replaced-ms", known.GetReplacedMs(), "reason", "may be of an earlier incarnation")
-		return &AmbiguousDepartureError{
-			Replica: departure.GetId(),
-		}
-	}
-	return c.Announce(ctx, enroller.CompleteDeparture(departure, known))
-}
-
-// announcementCheck is what an announcement would do to the table of replicas.
-type announcementCheck struct {
-	isUpdate  bool
-	isForeign bool
-}
-
-func (c *Controller) checkAnnouncement(ctx context.Context, replica *wire.Replica) (announcementCheck, error) {
-	var check announcementCheck
-	err := c.runInLoop(ctx, func(time.Time) {
-		table := c.state.Enroller
-		check.isUpdate = table.IsUpdate(enroller.WithTimes(replica, c.journalTime(time.Now())))
-		check.isForeign = check.isUpdate && table.IsForeign(replica, func(service string) bool {
-			return c.namedServices.contains(c.state.Publisher.Publication(), service)
-		})
-	})
-	return check, err
-}
-
-// ForeignAnnouncementError reports that a drain was announced by a writer that does not speak for the replica in use.
-type ForeignAnnouncementError struct {
-	Replica string
-}
-
-// Error returns the id of the replica.
-func (e *ForeignAnnouncementError) Error() string {
-	return fmt.Sprintf("replica %s: the announcement contradicts a replica that is in use", e.Replica)
-}
-
-// ignoreForeign logs an announcement that changes nothing. A ready replica needs no more than that, since it announces itself again. A drain must not be acknowledged, because this instance may be behind and the replica in use elsewhere.
-func (c *Controller) ignoreForeign(replica *wire.Replica) error {
-	c.log.Info("foreign announcement ignored", "replica", replica.GetId(), "service", replica.GetService(), "address", replica.GetAddress(),
-		"state", wire.StateName(replica.GetState()), "born-ms", replica.GetBornMs(), "sequence", replica.GetSequence())
-	if replica.GetState() == wire.ReplicaState_REPLICA_STATE_READY {
-		return nil
-	}
-	return &ForeignAnnouncementError{
-		Replica: replica.GetId(),
-	}
-}
-
 // reportAttempts records the ends of attempts that change what is known of suspect requests, once a quorum has stored them.
 func (c *Controller) reportAttempts(ctx context.Context, report *wire.ReportAttemptsRequest) error {
 	news := &wire.ReportAttemptsRequest{
@@ -357,12 +246,19 @@
 
 // execute commits a command here or at the leader, and retries until the context ends. Retries are safe because all commands of this service are idempotent.
 func (c *Controller) execute(ctx context.Context, command *wire.Command, call func(context.Context, wireconnect.FleetServiceClient) (applier.Result, error)) (applier.Result, error) {
+	return c.executeAt(ctx, func(ctx context.Context) (applier.Result, error) {
+		return c.command(ctx, command)
+	}, call)
+}
+
+// executeAt is execute with a function that commits the command if this instance is the leader, and otherwise returns a *journaler.NotLeaderError.
+func (c *Controller) executeAt(ctx context.Context, commit func(context.Context) (applier.Result, error), call func(context.Context, wireconnect.FleetServiceClient) (applier.Result, error)) (applier.Result, error) {
 	for {
 		leaderChanged := c.leaderChange.wait()
 		delay := commandRetryDelay
-		result, err := c.command(ctx, command)
+		result, err := commit(ctx)
 		var notLeader *journaler.NotLeaderError
-		if err == nil || errors.Is(err, errClosed) {
+		if err == nil || errors.Is(err, errClosed) || isRefusal(err) {
 			return result, err
 		}
 		if errors.As(err, &notLeader) {
@@ -374,8 +270,8 @@
 				result, err = c.forward(ctx, address, call)
 			}
 		}
-		if err == nil {
-			return result, nil
+		if err == nil || isRefusal(err) {
+			return result, err
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -14,8 +14,10 @@
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr/testr"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"pimentogate.example/pimentogate/internal/protocol/checker"
+	"pimentogate.example/pimentogate/internal/state/enroller"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -459,6 +461,43 @@
 }
 
 // TestFollowIsHeld checks that a call without changes returns at the next change, or when its hold time has passed.
+// TestDepartureAtInstanceThatIsBehind guards against a departure that is acknowledged without effect because the instance that receives it does not know the replica's incarnation yet.
+func TestDepartureAtInstanceThatIsBehind(t *testing.T) {
+	cl := newCluster(t, 3)
+	follower := cl.controls[(cl.awaitLeader()+1)%len(cl.controls)]
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	replica := &wire.Replica{
+		Id:      "r1",
+		Service: "s1",
+		Address: "10.0.0.1:1",
+		BornMs:  5,
+	}
+	for _, known := range [][]*wire.Replica{nil, {replica}} {
+		replica = proto.CloneOf(replica)
+		replica.BornMs += 2 * time.Minute.Milliseconds()
+		check(t, follower.Announce(ctx, replica))
+		check(t, follower.runInLoop(ctx, func(time.Time) { follower.state.Enroller = enroller.New(known) }))
+		for _, c := range cl.controls {
+			// The incarnation before is too long ago to be meant.
+			check(t, c.runInLoop(ctx, func(time.Time) {
+				if r := c.state.Enroller.Find("r1"); r != nil {
+					r.ReplacedMs = 0
+				}
+			}))
+		}
+		check(t, follower.Deregister(ctx, &wire.Replica{
+			Id: "r1",
+		}))
+		leader := cl.controls[cl.awaitLeader()]
+		got, err := leader.FindReplica(ctx, "r1")
+		check(t, err)
+		if got.GetState() != wire.ReplicaState_REPLICA_STATE_LEFT || got.GetBornMs() != replica.GetBornMs() {
+			t.Errorf("with %v known: the leader has %v, want that it has left", known, got)
+		}
+	}
+}
+
 func TestFollowIsHeld(t *testing.T) {
 	cl := newCluster(t, 3)
 	cl.publish(0, 1, "first")
--- a/internal/transport/controller/service.go
+++ b/internal/transport/controller/service.go
@@ -322,6 +322,8 @@
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	case errors.As(err, &joinErr):
 		return connect.NewError(connect.CodePermissionDenied, err)
+	case isRefusal(err):
+		return connect.NewError(connect.CodeAborted, err)
 	default:
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
