Don't send a withdrawn attempt again on another connection

What callers would see (GONE): a request reaches a replica long after its caller has left.

Evidence: TestWithdrawnAfterConnection failed in its two cases of a withdrawn attempt without the reset, and passes now.

--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -137,7 +137,9 @@
 	dialing   bool
 	attached  bool
 	withdrawn bool
-	cancel    context.CancelFunc
+	// final is set if the attempt is not to be sent again should its connection turn out to be closed before a byte was written.
+	final  bool
+	cancel context.CancelFunc
 }
 
 // NewExchange returns an attempt that ends by the deadline.
@@ -163,10 +165,11 @@
 	}
 }
 
-// Withdraw ends an attempt that has had no connection yet, and reports whether nothing of it was or will be sent. Unless the attempt is out of time, one that waits for a connection in use goes on.
+// Withdraw ends an attempt of which nothing was sent, and reports whether nothing of it was or will be sent. Unless the attempt is out of time, one that waits for a connection in use goes on. One that is out of time and has a connection ends with it.
 func (x *Exchange) Withdraw(isOutOfTime bool) bool {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
+	x.final = x.final || isOutOfTime
 	if x.attached || !x.dialing && !isOutOfTime {
 		return false
 	}
@@ -205,6 +208,18 @@
 	return true
 }
 
+// resetUnsent makes an attempt of which nothing was written wait for another connection. It returns false if the attempt has ended.
+func (x *Exchange) resetUnsent() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.abandoned || x.final {
+		return false
+	}
+	x.dialing = false
+	x.attached = false
+	return true
+}
+
 // detach dissociates the connection from the attempt, so that a late call of Abandon doesn't change the deadline of the connection's next attempt.
 func (x *Exchange) detach() {
 	x.mutex.Lock()
@@ -286,7 +301,7 @@
 	}
 	e.pools.release(target, conn, false)
 	if isProvenUnsent(conn, writeDone) {
-		return conn.wasIdle && !x.isAbandoned(), unsentOutcome(x, "connection had ended")
+		return conn.wasIdle && x.resetUnsent(), unsentOutcome(x, "connection had ended")
 	}
 	return false, brokenOutcome(x, err)
 }
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -363,3 +363,35 @@
 		}
 	}
 }
+
+// TestWithdrawnAfterConnection guards against an attempt that is sent again after it was withdrawn, because its first connection turned out to be closed before a byte was written.
+func TestWithdrawnAfterConnection(t *testing.T) {
+	cases := []struct {
+		name string
+		// withdraws is when the attempt is withdrawn: while it has its first connection, or while it waits for the second one.
+		withdrawsFirst, withdrawsSecond bool
+		wantsSecond                     bool
+	}{
+		{"not withdrawn", false, false, true},
+		{"while it has the first connection", true, false, false},
+		{"while it waits for the second connection", false, true, false},
+	}
+	for _, c := range cases {
+		near, far := net.Pipe()
+		x := NewExchange(time.Now().Add(time.Second))
+		isSent := x.attach(near)
+		if c.withdrawsFirst && x.Withdraw(true) {
+			t.Errorf("%s: withdrawn although it had a connection", c.name)
+		}
+		isSent = isSent && x.resetUnsent()
+		if c.withdrawsSecond && !x.Withdraw(true) {
+			t.Errorf("%s: not withdrawn although nothing was sent", c.name)
+		}
+		isSent = isSent && x.attach(near)
+		if isSent != c.wantsSecond {
+			t.Errorf("%s: sent again %t, want %t", c.name, isSent, c.wantsSecond)
+		}
+		_ = near.Close()
+		_ = far.Close()
+	}
+}
