Withdraw what a request that may run once has not sent when its caller leaves

Cause: of such a request no pending attempt was ended, since one that runs must not be cut off. That held also for attempts that waited for a connection, of which nothing was sent. They waited on until their deadline and were sent when a connection became free. Ruled out: requests that may run again, on all three kinds of route, whose waiting attempts end at once.

Change: attempts of which nothing was sent are withdrawn, as at a deadline, and their outcome is recorded. Those that have a connection go on.

--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -490,6 +490,52 @@
 	})
 }
 
+// TestCallerGoneDuringDivertedRequest guards against a request that waits for a connection at the peer that has taken it over, and is sent after its caller has left.
+func TestCallerGoneDuringDivertedRequest(t *testing.T) {
+	const (
+		fillers = 12
+		leavers = 8
+		// fillTime is how long the requests that occupy the connections have before the others come, which leave after leaveTime.
+		fillTime  = time.Second
+		leaveTime = 300 * time.Millisecond
+	)
+	sf := newStrandedFixture(t)
+	sf.isolateReceiver(t)
+	services := strandedServices()
+	services[0].MaxConnections = 1
+	table, err := matcher.NewRoutingTable(1, strandedRoutes(), services, matcher.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, peer := range sf.instances[1:] {
+		peer.routingTable.Store(table)
+	}
+	sf.runs.Clear()
+	began := make(chan struct{}, 100)
+	sf.began.Store(&began)
+	var done sync.WaitGroup
+	for range fillers {
+		done.Go(func() { sf.send(t.Context(), routeOnce) })
+	}
+	time.Sleep(fillTime)
+	ctx, cancel := context.WithTimeout(t.Context(), leaveTime)
+	defer cancel()
+	for range leavers {
+		done.Go(func() { sf.send(ctx, routeOnce) })
+	}
+	<-ctx.Done()
+	time.Sleep(leaveTime)
+	before := len(began)
+	if before == 0 {
+		t.Error("no request has begun")
+	}
+	done.Wait()
+	time.Sleep(fillTime)
+	if late := len(began) - before; late > 0 {
+		t.Errorf("%d requests were sent after their callers had left", late)
+	}
+}
+
 // testEndDuringDivertedRequest ends an instance after a replica has begun a diverted request, and checks the answer.
 func testEndDuringDivertedRequest(t *testing.T, end func(sf *strandedFixture)) {
 	t.Helper()
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -296,7 +296,7 @@
 // deadlineSlack is how long to wait for a reply after the deadline at which the replica must stop working.
 const deadlineSlack = 20 * time.Millisecond
 
-// finish returns the decision, after abandoning the request for the reason if there is none, and limits the attempts and relays still in flight to the timeout.
+// finish returns the decision, after abandoning the request for the reason if there is none, and limits the attempts and relays still in flight to the timeout. Of a request that may run only once, attempts of which nothing was sent end at once, and the others are not cut off: their work would be lost and could not be repeated.
 func (r *activeRequest) finish(reason scatterer.Reason, timeout time.Duration) scatterer.Decision {
 	f := r.forwarder
 	f.mutex.Lock()
@@ -306,11 +306,10 @@
 	r.timer.Stop()
 	now := time.Now()
 	deadline := now.Add(timeout)
-	for _, a := range r.job.Pending() {
-		// A request that may run only once is not cut off: its work would be lost and could not be repeated.
-		if exchange := r.exchanges[a]; exchange != nil && !r.call.AtMostOnce {
-			exchange.Abandon(deadline)
-		}
+	if r.call.AtMostOnce {
+		r.withdraw(now, scatterer.WithdrawAll)
+	} else {
+		r.abandonExchanges(deadline)
 	}
 	for _, o := range r.relays {
 		o.cancelAfter(timeout)
@@ -320,6 +319,15 @@
 	return d
 }
 
+// abandonExchanges ends the attempts in flight by the deadline, and at once those that wait for a connection; the mutex must be held.
+func (r *activeRequest) abandonExchanges(deadline time.Time) {
+	for _, a := range r.job.Pending() {
+		if exchange := r.exchanges[a]; exchange != nil {
+			exchange.Abandon(deadline)
+		}
+	}
+}
+
 // outcomePending is the logged outcome of an attempt that was in flight when the request was answered.
 const outcomePending = "pending"
 
