Send nothing of a request whose caller has left before it starts

What callers would see (GONE): a request is sent although its caller left while it waited for its organisation's tokens, or before a second try along the route of a newer configuration.

--- a/internal/transport/forwarder/divert_test.go
+++ b/internal/transport/forwarder/divert_test.go
@@ -536,6 +536,29 @@
 	}
 }
 
+// TestCallerGoneBeforeStart guards against a request that is sent although its caller has left before.
+func TestCallerGoneBeforeStart(t *testing.T) {
+	for name, route := range map[string]int{
+		"shards":       routeAll,
+		"at most once": routeOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			sf := newStrandedFixture(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			began := make(chan struct{}, 100)
+			sf.began.Store(&began)
+			if d := sf.send(ctx, route).Decision; d.Reason != scatterer.ReasonCallerGone {
+				t.Errorf("reason %q, want that the caller has left", d.Reason)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if len(began) > 0 {
+				t.Errorf("%d attempts were sent", len(began))
+			}
+		})
+	}
+}
+
 // testEndDuringDivertedRequest ends an instance after a replica has begun a diverted request, and checks the answer.
 func testEndDuringDivertedRequest(t *testing.T, end func(sf *strandedFixture)) {
 	t.Helper()
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -152,6 +152,9 @@
 
 // serve processes the request until it is decided, the caller disconnects, this instance ends or, for a request that may run again, it becomes isolated.
 func (r *activeRequest) serve(ctx context.Context) scatterer.Decision {
+	if ctx.Err() != nil {
+		return r.abandonUnsent()
+	}
 	var isolated <-chan struct{}
 	if r.request.Route.Idempotent && !r.forwarder.isolation.isIsolated() {
 		isolated = r.forwarder.isolation.signal()
@@ -296,6 +299,19 @@
 // deadlineSlack is how long to wait for a reply after the deadline at which the replica must stop working.
 const deadlineSlack = 20 * time.Millisecond
 
+// abandonUnsent returns the decision on a request whose caller has disconnected before anything was sent.
+func (r *activeRequest) abandonUnsent() scatterer.Decision {
+	f := r.forwarder
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	r.job = scatterer.New(r.request, f.policies)
+	r.job.Abandon(scatterer.ReasonCallerGone)
+	r.finished = true
+	d := *r.job.Decision()
+	r.log(time.Now(), &d)
+	return d
+}
+
 // finish returns the decision, after abandoning the request for the reason if there is none, and limits the attempts and relays still in flight to the timeout. Of a request that may run only once, attempts of which nothing was sent end at once, and the others are not cut off: their work would be lost and could not be repeated.
 func (r *activeRequest) finish(reason scatterer.Reason, timeout time.Duration) scatterer.Decision {
 	f := r.forwarder
