--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -38,6 +38,8 @@
 	gaugeInterval = time.Second
 	// snapshotBytes is the size of the log in memory from which a snapshot is taken; a few large publications reach it.
 	snapshotBytes = 2 << 20
+	// snapshotRetryDelay is the delay before a snapshot that could not be prepared is attempted again.
+	snapshotRetryDelay = time.Second
 	// identitySuffixLength is the length in characters of the random suffix that distinguishes a new identity from the lost one.
 	identitySuffixLength = 8
 )
@@ -65,9 +67,9 @@
 	snapshotter     *snapshotter
 	// isSnapshotting is set while a snapshot is being prepared.
 	isSnapshotting bool
-	// minCompactLength is the log length below which no snapshot is attempted, after one has failed.
-	minCompactLength int
-	saver            *saver
+	// nextSnapshotAt is when a snapshot may be attempted again, after one has failed.
+	nextSnapshotAt time.Time
+	saver          *saver
 	// isSaving is set while a batch of actions is being made durable.
 	isSaving   bool
 	meter      *meter
@@ -304,6 +306,8 @@
 			err = c.completeActions(actions)
 		case now := <-gaugeTicker.C:
 			c.updateGauges(now)
+			// A journal that has filled the disk gets no more entries, which would start it.
+			c.startSnapshot()
 		case <-ticker.C:
 			c.machine.Tick(time.Now())
 			c.updateLag(time.Now())
@@ -479,7 +483,7 @@
 // startSnapshot requests a snapshot of the state once the log is long or large enough.
 func (c *Controller) startSnapshot() {
 	isLarge := c.machine.LogLength() >= snapshotEntries || c.machine.LogBytes() >= snapshotBytes
-	if c.isSnapshotting || !isLarge || c.machine.LogLength() < c.minCompactLength {
+	if c.isSnapshotting || !isLarge || time.Now().Before(c.nextSnapshotAt) {
 		return
 	}
 	header := c.machine.SnapshotHeader(c.appliedIndex)
@@ -492,15 +496,14 @@
 	}
 }
 
-// completeSnapshot makes a prepared snapshot the current one and compacts the log, or schedules a later attempt if preparing it failed.
+// completeSnapshot makes a prepared snapshot the current one and compacts the log, or schedules a later attempt if preparing it failed. The log must not grow until then by more than the disk can hold, so the delay is a time, not a number of entries.
 func (c *Controller) completeSnapshot(p preparedSnapshot) {
 	c.isSnapshotting = false
 	if p.err != nil {
-		c.log.Error(p.err, "failed to prepare a snapshot; the journal is not compacted")
-		c.minCompactLength = c.machine.LogLength() + snapshotEntries
+		c.log.Error(p.err, "failed to prepare a snapshot; the journal is not compacted", "log-entries", c.machine.LogLength(), "log-bytes", c.machine.LogBytes())
+		c.nextSnapshotAt = time.Now().Add(snapshotRetryDelay)
 		return
 	}
-	c.minCompactLength = 0
 	c.store.UsePreparedSnapshot(p.snapshot)
 	c.machine.Compact(p.snapshot)
 }
