--- a/internal/state/journaler/machine.go
+++ b/internal/state/journaler/machine.go
@@ -287,14 +287,15 @@
 	}
 }
 
-// Compact replaces the log up to the snapshot, which the caller has made from a SnapshotHeader. A snapshot that is not newer than the current one is ignored.
-func (m *Machine) Compact(snapshot *wire.JournalSnapshot) {
+// Compact replaces the log up to the snapshot, which the caller has made from a SnapshotHeader, and reports whether it did. A snapshot that is not newer than the current one is ignored.
+func (m *Machine) Compact(snapshot *wire.JournalSnapshot) bool {
 	if m.log.FirstIndex() > snapshot.GetIndex() {
-		return
+		return false
 	}
 	m.log.Compact(snapshot)
 	m.snapshotMembers = snapshot.GetMembers().GetMembers()
 	m.actions.Snapshot = snapshot
+	return true
 }
 
 // Step processes one message from another control instance.
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -67,6 +67,8 @@
 	snapshotter     *snapshotter
 	// isSnapshotting is set while a snapshot is being prepared.
 	isSnapshotting bool
+	// installing is the prepared snapshot that the disk has not taken yet, or nil. The next one is written to the same file.
+	installing *wire.JournalSnapshot
 	// nextSnapshotAt is when a snapshot may be attempted again, after one has failed.
 	nextSnapshotAt time.Time
 	saver          *saver
@@ -412,6 +414,9 @@
 	for _, message := range actions.Messages {
 		c.send(message)
 	}
+	if actions.Snapshot.GetIndex() >= c.installing.GetIndex() {
+		c.installing = nil
+	}
 	if snapshot := actions.Snapshot; snapshot != nil && snapshot.GetIndex() > c.appliedIndex {
 		if err := c.state.Restore(snapshot.GetState()); err != nil {
 			return err
@@ -483,7 +488,7 @@
 // startSnapshot requests a snapshot of the state once the log is long or large enough.
 func (c *Controller) startSnapshot() {
 	isLarge := c.machine.LogLength() >= snapshotEntries || c.machine.LogBytes() >= snapshotBytes
-	if c.isSnapshotting || !isLarge || time.Now().Before(c.nextSnapshotAt) {
+	if c.isSnapshotting || c.installing != nil || !isLarge || time.Now().Before(c.nextSnapshotAt) {
 		return
 	}
 	header := c.machine.SnapshotHeader(c.appliedIndex)
@@ -505,7 +510,9 @@
 		return
 	}
 	c.store.UsePreparedSnapshot(p.snapshot)
-	c.machine.Compact(p.snapshot)
+	if c.machine.Compact(p.snapshot) {
+		c.installing = p.snapshot
+	}
 }
 
 func (c *Controller) failWaiters(err error) {
--- a/internal/transport/controller/full_disk_test.go
+++ b/internal/transport/controller/full_disk_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/transport/storer"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -91,7 +92,7 @@
 				if random.IntN(3) == 0 {
 					i = cl.awaitLeader()
 				}
-				unblock := cl.blockDisk(i)
+				unblock := cl.fillDisk(i)
 				time.Sleep(time.Duration(random.Int64N(int64(maxFull))))
 				unblock()
 				time.Sleep(time.Duration(random.Int64N(int64(maxRoom))))
@@ -112,6 +113,15 @@
 	}
 }
 
+// fillDisk lets the instance's writes fail until the returned function is called. The journal's file may be closed from the last time.
+func (cl *cluster) fillDisk(i int) func() {
+	cl.t.Helper()
+	folder := cl.settings[i].DataFolder
+	check(cl.t, os.Rename(folder, folder+".away"))
+	_ = cl.controls[i].store.Close()
+	return func() { check(cl.t, os.Rename(folder+".away", folder)) }
+}
+
 // diskSeeds returns the seeds of the short run, or those of a long run from the variable DISK_SEEDS, such as "20-40".
 func diskSeeds(t *testing.T) []uint64 {
 	t.Helper()
@@ -162,3 +172,40 @@
 	time.Sleep(time.Second)
 	cl.checkLogSize(0)
 }
+
+// TestSnapshotWaitsForTheOneBefore guards against a snapshot that is written over the prepared file of the one before while that waits for the disk, so that a crash leaves a torn file, with which the instance does not start again.
+func TestSnapshotWaitsForTheOneBefore(t *testing.T) {
+	cl := newCluster(t, 1)
+	cl.awaitVoters(0)
+	cl.publish(0, 1, "first")
+	c := cl.controls[0]
+	var first *wire.JournalSnapshot
+	check(t, c.runInLoop(t.Context(), func(time.Time) {
+		first = c.machine.SnapshotHeader(c.appliedIndex)
+		// The log grows in the meantime.
+		c.nextSnapshotAt = time.Now().Add(time.Hour)
+	}))
+	for version := uint64(2); version <= 2*snapshotBytes/largeDocument; version++ {
+		cl.publish(0, version, strings.Repeat("x", largeDocument))
+	}
+	check(t, storer.PrepareSnapshot(cl.settings[0].DataFolder, first))
+	isSnapshotting := false
+	check(t, c.runInLoop(t.Context(), func(time.Time) {
+		c.completeSnapshot(preparedSnapshot{
+			snapshot: first,
+		})
+		c.nextSnapshotAt = time.Time{}
+		c.startSnapshot()
+		isSnapshotting = c.isSnapshotting
+	}))
+	if isSnapshotting {
+		t.Error("a second snapshot was started before the first one was installed")
+	}
+	deadline := time.Now().Add(testTimeout)
+	for size := 2 * snapshotBytes; size >= snapshotBytes; time.Sleep(10 * time.Millisecond) {
+		check(t, c.runInLoop(t.Context(), func(time.Time) { size = c.machine.LogBytes() }))
+		if time.Now().After(deadline) {
+			t.Fatalf("the log of %d bytes is not compacted", size)
+		}
+	}
+}
--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,8 +34,8 @@
 	entries []*wire.JournalEntry
 	// needsRewrite is set after a failed write or sync. The file's content after the last successful sync is then unknown, so the next Save rewrites the whole file.
 	needsRewrite bool
-	// preparedSnapshot is the snapshot that PrepareSnapshot has already written.
-	preparedSnapshot *wire.JournalSnapshot
+	// preparedSnapshot is the snapshot that PrepareSnapshot has already written. It is set while a Save may be in progress.
+	preparedSnapshot atomic.Pointer[wire.JournalSnapshot]
 }
 
 // ErrNoJournal is returned by Open if the data folder holds no journal.
@@ -205,16 +206,15 @@
 }
 
 func (s *Storer) installSnapshot(snapshot *wire.JournalSnapshot) error {
-	if s.preparedSnapshot != snapshot {
+	if !s.preparedSnapshot.CompareAndSwap(snapshot, nil) {
 		return writeSnapshot(s.folder, snapshot)
 	}
-	s.preparedSnapshot = nil
 	return renameDurably(s.folder, preparedSnapshotName, snapshotName)
 }
 
 // UsePreparedSnapshot records that PrepareSnapshot has written the snapshot, so that a Save of the same snapshot renames that file instead of writing it again.
 func (s *Storer) UsePreparedSnapshot(snapshot *wire.JournalSnapshot) {
-	s.preparedSnapshot = snapshot
+	s.preparedSnapshot.Store(snapshot)
 }
 
 // PrepareSnapshot writes and syncs a snapshot under a temporary name and leaves the current snapshot unchanged. It may run concurrently with a Storer of the same folder.
