Remove a file that could be written in part only

Evidence: TestFailedWriteLeavesNoFile, with a device that is always full, found the file still there before and passes now.

--- a/internal/transport/storer/file.go
+++ b/internal/transport/storer/file.go
@@ -141,7 +141,16 @@
 	return syncFolder(folder)
 }
 
+// writeSynced writes and syncs a file, and removes it if that fails, since a disk that is full needs the room.
 func writeSynced(path string, content []byte) error {
+	err := writeAndSync(path, content)
+	if err != nil {
+		_ = os.Remove(path)
+	}
+	return err
+}
+
+func writeAndSync(path string, content []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return fmt.Errorf("create %s: %w", filepath.Base(path), err)
--- a/internal/transport/storer/storer_test.go
+++ b/internal/transport/storer/storer_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -407,3 +409,20 @@
 		t.Errorf("%d entries after %s, want %d within %s", len(saved.Entries), elapsed, entryCount, maxScanTime)
 	}
 }
+
+// TestFailedWriteLeavesNoFile guards against a file that was written in part, which keeps the room that a full disk needs to take anything again.
+func TestFailedWriteLeavesNoFile(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, preparedSnapshotName)
+	// Each write to this device fails as on a full disk.
+	check(t, os.Symlink("/dev/full", path))
+	err := PrepareSnapshot(folder, &wire.JournalSnapshot{
+		State: []byte("state"),
+	})
+	if !errors.Is(err, syscall.ENOSPC) {
+		t.Fatalf("got error %v, want a full disk", err)
+	}
+	if _, err := os.Lstat(path); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("the file is still there: %v", err)
+	}
+}
