--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -31,6 +31,12 @@
 
 // newCluster starts count control instances; the first three are the seeds.
 func newCluster(t *testing.T, count int) *cluster {
+	t.Helper()
+	return newZonedCluster(t, count, count)
+}
+
+// newZonedCluster starts count control instances in as many availability zones as given.
+func newZonedCluster(t *testing.T, count, zones int) *cluster {
 	t.Helper()
 	_, port, err := net.SplitHostPort(freeAddress(t))
 	check(t, err)
@@ -47,7 +53,7 @@
 		}
 		cl.settings = append(cl.settings, &checker.ControlSettings{
 			Instance:          fmt.Sprintf("control-%d", i),
-			Zone:              fmt.Sprintf("zone-%d", i),
+			Zone:              fmt.Sprintf("zone-%d", i%zones),
 			Listen:            net.JoinHostPort(host, port),
 			DataFolder:        filepath.Join(folder, host),
 			ElectionTimeoutMs: testElectionTimeoutMs,
--- a/internal/transport/controller/full_disk_test.go
+++ b/internal/transport/controller/full_disk_test.go
@@ -84,7 +84,13 @@
 	for _, seed := range diskSeeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, seed))
-			cl := newCluster(t, 3+int(seed%3))
+			count := 3 + int(seed%4)
+			zones := count
+			if count%2 == 0 {
+				// An instance is removed sooner if another of its availability zone is heard.
+				zones = count / 2
+			}
+			cl := newZonedCluster(t, count, zones)
 			cl.awaitVoters(0)
 			p := startPublisher(cl, rand.New(rand.NewPCG(seed, 1)))
 			for round := range rounds {
