Count only the incarnation in use as a sign of life

What callers would see: a replica that has crashed is never found lost, and is tried again and again, while late check-ins of its earlier incarnation, or those of a writer that repeats them, arrive.

Cause: each check-in counted for the replica of its id, whatever its start time.

Evidence: TestSignsOfLife failed for the earlier incarnation before, and passes now.

--- a/internal/transport/controller/announcements.go
+++ b/internal/transport/controller/announcements.go
@@ -44,7 +44,9 @@
 	if check.isForeign {
 		return c.ignoreForeign(replica)
 	}
-	c.heartbeats.record(time.Now(), replica.GetId())
+	if check.isAlive {
+		c.heartbeats.record(time.Now(), replica.GetId())
+	}
 	if !check.isUpdate {
 		return nil
 	}
@@ -160,6 +162,8 @@
 type announcementCheck struct {
 	isUpdate  bool
 	isForeign bool
+	// isAlive is set if the announcement is by the incarnation in the table, or a later one.
+	isAlive bool
 }
 
 func (c *Controller) checkAnnouncement(ctx context.Context, replica *wire.Replica) (announcementCheck, error) {
@@ -167,6 +171,7 @@
 	err := c.runInLoop(ctx, func(time.Time) {
 		table := c.state.Enroller
 		announcement := enroller.WithTimes(replica, c.journalTime(time.Now()))
+		check.isAlive = announcement.GetBornMs() >= table.Find(announcement.GetId()).GetBornMs()
 		check.isUpdate = table.IsUpdate(announcement) || table.IsOpenDrain(announcement)
 		check.isForeign = table.IsUpdate(announcement) && table.IsForeign(replica, func(service string) bool {
 			return c.namedServices.contains(c.state.Publisher.Publication(), service)
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -467,6 +467,49 @@
 }
 
 // TestFollowIsHeld checks that a call without changes returns at the next change, or when its hold time has passed.
+// TestSignsOfLife guards against a replica that is never found lost, because late check-ins of its earlier incarnation or those of another writer count as its own.
+func TestSignsOfLife(t *testing.T) {
+	c := newCluster(t, 1).controls[0]
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	inUse := &wire.Replica{
+		Id:       "r1",
+		Service:  "s1",
+		Address:  "10.0.0.1:1",
+		BornMs:   5,
+		Sequence: 3,
+	}
+	check(t, c.Announce(ctx, inUse))
+	cases := []struct {
+		name   string
+		change func(r *wire.Replica)
+		want   bool
+	}{
+		{"own", func(r *wire.Replica) { r.Sequence = 4 }, true},
+		{"own, out of order", func(r *wire.Replica) { r.Sequence = 2 }, true},
+		{"earlier incarnation", func(r *wire.Replica) { r.BornMs = 4 }, false},
+		{"foreign", func(r *wire.Replica) {
+			r.Service = "s2"
+			r.Sequence = 9
+		}, false},
+		{"next incarnation", func(r *wire.Replica) { r.BornMs = 6 }, true},
+	}
+	for _, test := range cases {
+		c.heartbeats.mutex.Lock()
+		delete(c.heartbeats.lastHeartbeatAt, "r1")
+		c.heartbeats.mutex.Unlock()
+		announcement := proto.CloneOf(inUse)
+		test.change(announcement)
+		check(t, c.Announce(ctx, announcement))
+		c.heartbeats.mutex.Lock()
+		_, got := c.heartbeats.lastHeartbeatAt["r1"]
+		c.heartbeats.mutex.Unlock()
+		if got != test.want {
+			t.Errorf("%s: sign of life %t, want %t", test.name, got, test.want)
+		}
+	}
+}
+
 // TestDepartureAtInstanceThatIsBehind guards against a departure that is acknowledged without effect because the instance that receives it does not know the replica's incarnation yet.
 func TestDepartureAtInstanceThatIsBehind(t *testing.T) {
 	cl := newCluster(t, 3)
