Let a replica take the address of one that drains before its service is named

A replica that drains gets no requests, so a check-in that displaces it harms nobody, whatever its service. Holding it back made a replica of a new set of shards wait for the configuration that names it and its next check-in after that, if a departure at its address had not been acknowledged.

TestForeignCheckIns, TestDeparturesAreFinal (20,000 random orders) and TestEnroller pass as before.

--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -101,7 +101,7 @@
 	}
 	switch existing.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_LEFT:
-		return !existing.GetSuperseded() || isInUse(announcement) && !e.canReturn(announcement) || isLost(announcement)
+		return !existing.GetSuperseded() || !e.canReturn(announcement)
 	case wire.ReplicaState_REPLICA_STATE_DRAINING:
 		return announcement.GetState() != wire.ReplicaState_REPLICA_STATE_LEFT
 	default:
@@ -109,9 +109,17 @@
 	}
 }
 
-// canReturn reports whether a superseded replica that announces itself takes its address back: from a lost
-// replica, which has either ended or never was there, or from one that started earlier.
+// canReturn reports whether the announcement of a superseded replica has an effect. It may leave, or take its
+// address back from a lost replica, which has either ended or never was there, or from one that started
+// earlier.
 func (e *Enroller) canReturn(announcement *wire.Replica) bool {
+	switch announcement.GetState() {
+	case wire.ReplicaState_REPLICA_STATE_LEFT:
+		return true
+	case wire.ReplicaState_REPLICA_STATE_LOST:
+		return false
+	default:
+	}
 	holder := e.replicas[e.byAddress[announcement.GetAddress()]]
 	return holder != nil && (isLost(holder) || holder.GetBornMs() < announcement.GetBornMs())
 }
