Give each instance of the signal tests a loopback address of its own

With the race detector, TestSignals/control failed once: a port that it had chosen on 127.0.0.1 and freed was taken by then (address already in use). Each instance has its own loopback host now, and its ports are chosen together.

--- a/internal/transport/launcher/signals_test.go
+++ b/internal/transport/launcher/signals_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -63,14 +64,23 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+// hostCount counts the loopback addresses of all instances.
+var hostCount atomic.Int64
+
+// freeAddresses returns addresses on a loopback host that nothing else uses, so that no other test gets their ports.
+func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	host := fmt.Sprintf("127.86.0.%d", hostCount.Add(1))
+	var addresses []string
+	for range count {
+		socket, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		addresses = append(addresses, socket.Addr().String())
 	}
-	defer socket.Close()
-	return socket.Addr().String()
+	return addresses
 }
 
 // child is an instance that runs as a process of its own.
@@ -85,13 +95,14 @@
 func startChild(t *testing.T, role, raise string, graceMs int) *child {
 	t.Helper()
 	folder := t.TempDir()
+	addresses := freeAddresses(t, 3)
 	c := &child{
-		address: freeAddress(t),
+		address: addresses[0],
 	}
-	settings := fmt.Sprintf(`{"instance": "e", "zone": "a", "listen-callers": %q, "listen-readiness": %q, "listen-metrics": %q, "control-seeds": ["127.0.0.1:1"], "control-peers": "127.0.0.1:1", "drain-ms": 300, "grace-ms": %d}`, c.address, freeAddress(t), freeAddress(t), graceMs)
+	settings := fmt.Sprintf(`{"instance": "e", "zone": "a", "listen-callers": %q, "listen-readiness": %q, "listen-metrics": %q, "control-seeds": ["127.0.0.1:1"], "control-peers": "127.0.0.1:1", "drain-ms": 300, "grace-ms": %d}`, c.address, addresses[1], addresses[2], graceMs)
 	if role == "control" {
-		listen := freeAddress(t)
-		settings = fmt.Sprintf(`{"instance": "c", "zone": "a", "listen": %q, "data-folder": %q, "formation": {"seeds": [%q], "first-start": true}, "platform": {"listen": %q, "listen-metrics": %q}}`, listen, folder, listen, c.address, freeAddress(t))
+		listen := addresses[1]
+		settings = fmt.Sprintf(`{"instance": "c", "zone": "a", "listen": %q, "data-folder": %q, "formation": {"seeds": [%q], "first-start": true}, "platform": {"listen": %q, "listen-metrics": %q}}`, listen, folder, listen, c.address, addresses[2])
 	}
 	c.path = filepath.Join(folder, role+".json")
 	if err := os.WriteFile(c.path, []byte(settings), 0o600); err != nil {
