Don't count a caller's departure against the replica that its request waited for

Cause: an attempt that was withdrawn because its caller had left was recorded like one that gets no connection, so that a busy replica was avoided for a while.

Evidence: TestCallerGoneIsNoFailure failed for requests that may run once, and passes now, as before for those that may run again.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -235,7 +235,7 @@
 			continue
 		}
 		cost := b.cost(now, s, candidate, demand.Work)
-		if explore && !candidate.isBackingOff(now) && !candidate.isLastResort() {
+		if explore && !candidate.IsBackingOff(now) && !candidate.isLastResort() {
 			cost = time.Duration(b.random.Int64N(int64(time.Millisecond)))
 		}
 		if best == nil || cost < bestCost {
@@ -262,8 +262,8 @@
 	return now.Sub(r.startTimes[0])
 }
 
-// isBackingOff reports whether the replica is avoided after a failure. Once the backoff has ended, one attempt at a time probes the replica.
-func (r *ReplicaState) isBackingOff(now time.Time) bool {
+// IsBackingOff reports whether the replica is avoided after a failure. Once the backoff has ended, one attempt at a time probes the replica.
+func (r *ReplicaState) IsBackingOff(now time.Time) bool {
 	return r.consecutiveFailures > 0 && (now.Before(r.backoffUntil) || r.InFlight() > 0)
 }
 
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -107,7 +107,7 @@
 	moved := b.Find("r0").Replica
 	moved.Address = "10.0.0.9:1"
 	b.Put(moved)
-	if b.Find("r0").isBackingOff(start) || b.ReplicaCount(start, "shard") != 1 {
+	if b.Find("r0").IsBackingOff(start) || b.ReplicaCount(start, "shard") != 1 {
 		t.Error("state of the old address applies to the new one")
 	}
 	b.Remove("r0")
--- a/internal/coordination/balancer/cost.go
+++ b/internal/coordination/balancer/cost.go
@@ -61,7 +61,7 @@
 	if oldestAge := r.oldestAttemptAge(now); oldestAge > stallFactor*max(work, s.typicalLatency()) {
 		c.Avoided += oldestAge
 	}
-	if r.isBackingOff(now) {
+	if r.IsBackingOff(now) {
 		c.Avoided += maxBackoff
 	}
 	if r.isLastResort() {
@@ -88,7 +88,7 @@
 
 // isProbeDue reports whether the replica is to be tried after a failure, so that one that was lost comes back.
 func (r *ReplicaState) isProbeDue(now time.Time) bool {
-	return r.consecutiveFailures > 0 && !r.isBackingOff(now)
+	return r.consecutiveFailures > 0 && !r.IsBackingOff(now)
 }
 
 // fleetFailures returns the share of attempts at all replicas that fail.
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -217,7 +217,7 @@
 // handleDue handles what is due; the mutex must be held.
 func (r *activeRequest) handleDue(now time.Time) {
 	if withdrawal := r.job.GiveUp(now); withdrawal != scatterer.WithdrawNone {
-		r.withdraw(now, withdrawal)
+		r.withdraw(now, withdrawal, unreachableOutcome)
 	}
 	r.advance(now, r.job.Tick(now))
 }
@@ -227,21 +227,31 @@
 	r.forwarder.mutex.Lock()
 	defer r.forwarder.mutex.Unlock()
 	r.job.StopSending()
-	r.withdraw(time.Now(), scatterer.WithdrawAll)
+	r.withdraw(time.Now(), scatterer.WithdrawAll, unreachableOutcome)
 }
 
-// withdraw ends attempts that have had no connection so far; the mutex must be held.
-func (r *activeRequest) withdraw(now time.Time, withdrawal scatterer.Withdrawal) {
+var (
+	// unreachableOutcome is the outcome of an attempt that has had no connection for too long.
+	unreachableOutcome = scatterer.Outcome{
+		Kind:         scatterer.OutcomeUnsent,
+		NoConnection: true,
+		Cause:        scatterer.CauseNoConnection,
+	}
+	// cancelledOutcome is the outcome of an attempt that was not sent because nobody waits for its answer.
+	cancelledOutcome = scatterer.Outcome{
+		Kind:  scatterer.OutcomeUnsent,
+		Cause: scatterer.CauseCancelled,
+	}
+)
+
+// withdraw ends attempts that have had no connection so far, with the outcome; the mutex must be held.
+func (r *activeRequest) withdraw(now time.Time, withdrawal scatterer.Withdrawal, outcome scatterer.Outcome) {
 	var results []scatterer.Result
 	for _, a := range r.job.Pending() {
 		if exchange := r.exchanges[a]; exchange != nil && exchange.Withdraw(withdrawal == scatterer.WithdrawAll) {
 			results = append(results, scatterer.Result{
 				Attempt: a,
-				Outcome: scatterer.Outcome{
-					Kind:         scatterer.OutcomeUnsent,
-					NoConnection: true,
-					Cause:        scatterer.CauseNoConnection,
-				},
+				Outcome: outcome,
 			})
 		}
 	}
@@ -289,10 +299,7 @@
 // cancelUnsent cancels attempts that were not sent before the request was decided; the mutex must be held.
 func (r *activeRequest) cancelUnsent(now time.Time, attempts []*scatterer.Attempt) {
 	for _, a := range attempts {
-		r.job.HandleOutcome(now, a, scatterer.Outcome{
-			Kind:  scatterer.OutcomeUnsent,
-			Cause: scatterer.CauseCancelled,
-		})
+		r.job.HandleOutcome(now, a, cancelledOutcome)
 	}
 }
 
@@ -323,7 +330,7 @@
 	now := time.Now()
 	deadline := now.Add(timeout)
 	if r.call.AtMostOnce {
-		r.withdraw(now, scatterer.WithdrawAll)
+		r.withdraw(now, scatterer.WithdrawAll, cancelledOutcome)
 	} else {
 		r.abandonExchanges(deadline)
 	}
--- a/internal/transport/forwarder/withdraw_test.go
+++ b/internal/transport/forwarder/withdraw_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"syscall"
@@ -84,3 +85,46 @@
 		})
 	}
 }
+
+// TestCallerGoneIsNoFailure guards against replicas that are left out because callers have left while their requests waited for a connection.
+func TestCallerGoneIsNoFailure(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("idempotent %t", idempotent), func(t *testing.T) {
+			t.Parallel()
+			f := newTestForwarder(t, "entry-1", "a")
+			f.putReplica(balancer.Replica{
+				ID:      "one-0",
+				Service: "one",
+				Address: newSilentAddress(t),
+				Zone:    "a",
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			now := time.Now()
+			f.Serve(ctx, &exchanger.Call{
+				ID:         "1",
+				Method:     "POST",
+				Path:       "/one/1",
+				AtMostOnce: !idempotent,
+			}, scatterer.Request{
+				ID: "1",
+				Route: &matcher.Route{
+					Name:          "one",
+					Service:       "one",
+					Idempotent:    idempotent,
+					Timeout:       2 * time.Second,
+					TargetLatency: time.Second,
+					MaxRuns:       1,
+				},
+				ArrivedAt: now,
+				Deadline:  now.Add(2 * time.Second),
+			}, 1)
+			time.Sleep(50 * time.Millisecond)
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			if r := f.balancer.Find("one-0"); r.IsBackingOff(time.Now()) || r.InFlight() > 0 {
+				t.Errorf("the replica is avoided (%t) with %d requests in flight", r.IsBackingOff(time.Now()), r.InFlight())
+			}
+		})
+	}
+}
