--- a/internal/transport/launcher/signals_test.go
+++ b/internal/transport/launcher/signals_test.go
@@ -92,6 +92,7 @@
 	path string
 }
 
+// startChild starts an instance of the role, which receives SIGHUP while it starts if raise is not empty.
 func startChild(t *testing.T, role, raise string, graceMs int) *child {
 	t.Helper()
 	folder := t.TempDir()
