--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,9 +30,10 @@
 
 // scenarios holds what can be played; each returns 0 if the rules held, 1 if one was broken, and 2 if it could not run.
 var scenarios = map[string]func(root, record string, trouble bool, length time.Duration) int{
-	"chaos":  playChaos,
-	"term":   playTerm,
-	"forged": playForged,
+	"chaos":   playChaos,
+	"term":    playTerm,
+	"forged":  playForged,
+	"foreign": playForeign,
 }
 
 func route(name, prefix, kind string, more map[string]any) map[string]any {
@@ -432,3 +433,39 @@
 		w.breaks("DRAIN: %d requests ran at %s later than %d ms after its drain was acknowledged, the last %.1f s after", late, r.id, drainMs, last.Sub(ackedAt).Seconds())
 	}
 }
+
+// playForeign has another writer check in under the id and the address of a replica of one service, as one of another, with fields missing.
+func playForeign(root, record string, trouble bool, _ time.Duration) int {
+	f := newFleet(root, 3, 2)
+	w := newWorld(f, record)
+	w.services = map[string]string{"/get/": "alpha", "/pay/": "alpha", "/other/": "beta"}
+	if !w.begin(config(1, []any{
+		route("get", "/get/", "safe", map[string]any{"service": "alpha"}),
+		route("pay", "/pay/", "unsafe", map[string]any{"service": "alpha"}),
+		route("other", "/other/", "safe", map[string]any{"service": "beta"}),
+	}, []string{"alpha", "beta"})) {
+		w.end()
+		return 2
+	}
+	network := f.controls[0].ip[:len(f.controls[0].ip)-2]
+	var others []*replica
+	for i := range 3 {
+		w.newReplica("alpha", zones[i], network+"9:0", 4, behaviour{workMs: 10})
+		others = append(others, w.newReplica("beta", zones[i], network+"9:0", 4, behaviour{workMs: 10}))
+	}
+	time.Sleep(3 * time.Second)
+	stop := time.Now().Add(14 * time.Second)
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() { w.consumePlain(i, stop) })
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		named := others[0]
+		status, _ := call("PUT", "http://"+f.controlOf(f.controls[0])+names["replicas"]+named.id, []byte(fmt.Sprintf(
+			`{"service":"alpha","address":%q,"state":"ready","sequence":%d,"born":%d}`, named.addr, 3, time.Now().UnixMilli())), time.Second)
+		w.note("check-in of another writer for %s of beta as one of alpha, without zone, version, slots and warmup_left_ms: %d", named.id, status)
+	}
+	group.Wait()
+	return w.end()
+}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -56,6 +56,8 @@
 	sets     [][]string
 	begun    time.Time
 	nextID   atomic.Int64
+	// services names the service of the routes whose prefixes are the keys, where a scenario checks that.
+	services map[string]string
 }
 
 func newWorld(f *fleet, recordPath string) *world {
@@ -105,12 +107,20 @@
 		w.breaks("UNASKED: %s runs %s, which nobody sent (%s)", r.id, id, path)
 	case s.digest != digest:
 		w.breaks("UNASKED: %s runs %s changed: sent %s, arrived %s", r.id, id, s.path, path)
+	case w.services[prefixOf(path)] != "" && w.services[prefixOf(path)] != r.service:
+		w.breaks("ROUTE: %s of %s runs %s, which is for %s (%s)", r.id, r.service, id, w.services[prefixOf(path)], path)
 	case s.kind == "unsafe" && count > 1:
 		w.breaks("TWICE: %s ran %d times", id, count)
 	}
 	return x
 }
 
+// prefixOf returns the first part of the path.
+func prefixOf(path string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return "/" + first + "/"
+}
+
 // connection is a consumer's connection to an entry instance.
 type connection struct {
 	net.Conn
