--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,6 +34,7 @@
 	"term":    playTerm,
 	"forged":  playForged,
 	"foreign": playForeign,
+	"failing": playFailing,
 }
 
 func route(name, prefix, kind string, more map[string]any) map[string]any {
@@ -469,3 +470,49 @@
 	group.Wait()
 	return w.end()
 }
+
+// playFailing has a replica fail part of its runs with an answer of its own that doesn't say that it has not run. Callers come again after a promise, as the pages say.
+func playFailing(root, record string, trouble bool, _ time.Duration) int {
+	f := newFleet(root, 3, 2)
+	w := newWorld(f, record)
+	if !w.begin(config(1, []any{route("pay", "/pay/", "unsafe", map[string]any{"service": "alpha"})}, []string{"alpha"})) {
+		w.end()
+		return 2
+	}
+	network := f.controls[0].ip[:len(f.controls[0].ip)-2]
+	for i := range 3 {
+		b := behaviour{workMs: 10}
+		if i == 0 {
+			b.fail, b.failStatus = 0.4, 503
+		}
+		w.newReplica("alpha", zones[i], network+"9:0", 4, b)
+	}
+	time.Sleep(3 * time.Second)
+	w.trouble.Store(trouble)
+	stop := time.Now().Add(8 * time.Second)
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for n := 0; time.Now().Before(stop); n++ {
+				time.Sleep(time.Duration(20+rand.IntN(60)) * time.Millisecond)
+				// Both attempts are for the same work, which the body names.
+				work := []byte(fmt.Sprintf("work %d-%d", i, n))
+				for attempt := range 2 {
+					c := w.connect(f.entries[(i+attempt)%len(f.entries)])
+					if c == nil {
+						break
+					}
+					s, _ := w.ask(c, "unsafe", "POST", "shop.example", "/pay/1", work, 2*time.Second, 0, 0)
+					_ = c.Close()
+					if s.status != 503 && s.status != 429 {
+						break
+					}
+					w.note("%s was answered %d, which promises that it has not run; the caller comes again", s.id, s.status)
+				}
+			}
+		})
+	}
+	group.Wait()
+	time.Sleep(time.Second)
+	return w.end()
+}
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -26,6 +26,8 @@
 	reject, resetAfter, resetBefore, cut, extraLate, garbage, early, unframed, interim, closeAfter, dropIdle, fail float64
 	workMs                                                                                                         int
 	unframedReset                                                                                                  float64
+	// failStatus is the status of a run that fails; 0 stands for 500.
+	failStatus int
 }
 
 // run is one run of a request at a replica.
@@ -278,7 +280,7 @@
 		return false
 	}
 	if r.roll(r.b.fail) {
-		return r.answer(c, x, 500, "")
+		return r.answer(c, x, max(r.b.failStatus, 500), "")
 	}
 	return r.answer(c, x, 200, "")
 }
