--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -1,5 +1,6 @@
 //go:build review
 
+// Command harness plays a small deployment for the scripts of the second review: it starts the project's control and entry instances, and stands in for operator, replicas and callers.
 package main
 
 import (
