--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -79,13 +79,16 @@
 	j.setDecision(d)
 }
 
+// CanRelay reports whether the caller may get the reply as it is. A reply that came after a run must not tell the caller of a request that may run once to send it again.
+func (r *Request) CanRelay(reply *Reply) bool { return r.Route.Idempotent || !reply.PromisesNoRun() }
+
 // decideFailure relays the failed reply of a route without shards, or decides that there is no answer. The decision is Refused only if no attempt can have run.
 func (j *Job) decideFailure(now time.Time, reason Reason) {
-	if !j.request.Route.IsSharded() && j.shards[0].failureReply != nil {
+	if failure := j.shards[0].failureReply; !j.request.Route.IsSharded() && failure != nil && j.request.CanRelay(failure) {
 		j.setDecision(Decision{
 			Kind:    Relayed,
 			Reason:  ReasonReplicaFailed,
-			Replies: []*Reply{j.shards[0].failureReply},
+			Replies: []*Reply{failure},
 		})
 		return
 	}
--- a/internal/coordination/scatterer/job_test.go
+++ b/internal/coordination/scatterer/job_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// TestRetryByOutcome checks after which outcomes a request is sent again, and what its caller gets.
+// TestRetryByOutcome checks after which outcomes a request is sent again, and what its caller gets. It guards against a status after a run that tells the caller of a request that may run once to send it again.
 func TestRetryByOutcome(t *testing.T) {
 	cases := []struct {
 		name       string
@@ -117,6 +117,13 @@
 	}{
 		{"answered", false, []Outcome{replied(200)}, 1, Relayed, 200},
 		{"failed", false, []Outcome{replied(500)}, 1, Relayed, 500},
+		{"failed with 408", false, []Outcome{replied(408)}, 1, Failed, 0},
+		{"failed with 421", false, []Outcome{replied(421)}, 1, Failed, 0},
+		{"failed with 429", false, []Outcome{replied(429)}, 1, Failed, 0},
+		{"failed with 503", false, []Outcome{replied(503)}, 1, Failed, 0},
+		{"failed with 504", false, []Outcome{replied(504)}, 1, Relayed, 504},
+		{"rejected, then failed with 503", false, []Outcome{outcomeOf(OutcomeRejected), replied(503)}, 2, Failed, 0},
+		{"idempotent: failed with 429 twice", true, []Outcome{replied(429), replied(429)}, 2, Relayed, 429},
 		{"broken", false, []Outcome{outcomeOf(OutcomeBroken)}, 1, Failed, 0},
 		{"rejected, then answered", false, []Outcome{outcomeOf(OutcomeRejected), replied(200)}, 2, Relayed, 200},
 		{"misdirected, then answered", false, []Outcome{outcomeOf(OutcomeMisdirected), replied(200)}, 2, Relayed, 200},
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"net/http"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/apportioner"
@@ -52,6 +53,16 @@
 // IsSuccess reports whether the reply has a success status and a signature, as required of an answer.
 func (r *Reply) IsSuccess() bool { return r.Status >= 200 && r.Status < 300 && r.Stamp != "" }
 
+// PromisesNoRun reports whether callers take the reply's status as a promise that the request has not run and never will.
+func (r *Reply) PromisesNoRun() bool {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // OutcomeKind says how an attempt ended.
 type OutcomeKind int
 
--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -148,6 +148,10 @@
 	for _, reply := range response.GetReplies() {
 		d.Replies = append(d.Replies, replyFromWire(reply))
 	}
+	// Peers of an earlier version relay each reply.
+	if d.Kind == scatterer.Relayed && (len(d.Replies) == 0 || !v.request.CanRelay(d.Replies[0])) {
+		return v.newFailure(scatterer.ReasonReplicaFailed)
+	}
 	route := *v.request.Route
 	route.TopK = int(response.GetTopK())
 	v.recordDecision(&d)
--- a/internal/transport/forwarder/older_peer_test.go
+++ b/internal/transport/forwarder/older_peer_test.go
@@ -9,8 +9,11 @@
 
 	"connectrpc.com/connect"
 
+	"pimentogate.example/pimentogate/internal/coordination/diverter"
+	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
+	"pimentogate.example/pimentogate/internal/transport/exchanger"
 	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
@@ -99,3 +102,37 @@
 		t.Errorf("%d of %d parts, %v", received, relayShards, err)
 	}
 }
+
+// TestOlderPeerRelaysFailure guards against a status after a run that a peer of an older build passes on, and that promises the caller of a request that may run once that it has not run.
+func TestOlderPeerRelaysFailure(t *testing.T) {
+	f := newTestForwarder(t, "entry", "a")
+	for _, isIdempotent := range []bool{false, true} {
+		v := &diversion{
+			forwarder: f,
+			call:      &exchanger.Call{},
+			request: scatterer.Request{
+				Route: &matcher.Route{
+					Idempotent: isIdempotent,
+				},
+			},
+			tried: []*diverter.Peer{{}},
+		}
+		for status, promisesNoRun := range map[uint32]bool{
+			408: true,
+			421: true,
+			429: true,
+			500: false,
+			503: true,
+		} {
+			got := v.newAnswer(&wire.DivertResponse{
+				Kind: uint32(scatterer.Relayed),
+				Replies: []*wire.DivertReply{{
+					Status: status,
+				}},
+			}).Decision
+			if isRelayed := got.Kind == scatterer.Relayed; isRelayed != (isIdempotent || !promisesNoRun) {
+				t.Errorf("%d, idempotent %t: %s", status, isIdempotent, got.Kind)
+			}
+		}
+	}
+}
