--- a/internal/coordination/scatterer/screening.go
+++ b/internal/coordination/scatterer/screening.go
@@ -16,7 +16,7 @@
 	hasFailed bool
 }
 
-// screen skips the shards from which the request is quarantined. It returns how long the quarantine lasts if too few are left for an answer.
+// screen skips the shards from which the request is quarantined. If too few are left for an answer, it returns when the caller may come again.
 func (j *Job) screen(now time.Time) time.Duration {
 	verdict := j.policies.Screener.Check(now, j.request.Fingerprint)
 	j.screening.isCautious = verdict.IsSuspect && j.request.Route.IsSharded()
@@ -33,7 +33,7 @@
 	if allowed >= j.requiredCount() {
 		return 0
 	}
-	return verdict.QuarantinedFor
+	return verdict.RetryAfter
 }
 
 // sendOrder returns the indexes of the shards in the order of their first attempts. The probe of a suspect request goes to a shard whose replicas have not crashed under it, if there is one.
@@ -108,7 +108,7 @@
 	return attempts
 }
 
-// recordSuspicion records whether the attempt's replica crashed or answered.
+// recordSuspicion records whether the attempt's replica crashed, answered, or has run on after a supposed crash.
 func (j *Job) recordSuspicion(now time.Time, a *Attempt, outcome Outcome) {
 	ended := screener.Attempt{
 		Fingerprint: j.request.Fingerprint,
@@ -123,4 +123,10 @@
 	case outcome.Kind == OutcomeReplied:
 		j.policies.Screener.RecordAnswer(now, ended)
 	}
+	if outcome.Kind == OutcomeReplied || outcome.Kind == OutcomeRejected {
+		j.policies.Screener.RecordResponse(now, ended, screener.Delivery{
+			SentAt:      a.StartedAt,
+			ConnectedAt: outcome.ConnectedAt,
+		})
+	}
 }
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -104,6 +104,8 @@
 	Notice *balancer.Notice
 	// ConnectionLost is set if the replica's side ended the connection before the response was complete, as when the replica crashes.
 	ConnectionLost bool
+	// ConnectedAt is when the connection of a response was opened; zero if a peer has relayed the attempt.
+	ConnectedAt time.Time
 	// NoConnection is set if the replica took no connection from this instance.
 	NoConnection bool
 	// IsMerged is set if the reply's records were merged with those of the other replies that arrived with it, so that all of them are used or none.
--- a/internal/coordination/screener/screener.go
+++ b/internal/coordination/screener/screener.go
@@ -9,8 +9,12 @@
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
-// maxReports bounds the ends of attempts that wait to be reported; further ones are dropped.
-const maxReports = 512
+const (
+	// maxReports bounds the ends of attempts that wait to be reported; further ones are dropped.
+	maxReports = 512
+	// maxLosses bounds the incarnations that have ended a connection; the oldest are dropped first.
+	maxLosses = 1024
+)
 
 // Verdict says how a request may be sent.
 type Verdict struct {
@@ -18,6 +22,8 @@
 	IsSuspect bool
 	// QuarantinedFor is how much longer the request is quarantined, 0 if it is not.
 	QuarantinedFor time.Duration
+	// RetryAfter is when the caller of a quarantined request may come again.
+	RetryAfter time.Duration
 }
 
 // Attempt is an attempt of a request at one incarnation of a replica.
@@ -35,7 +41,22 @@
 	Attempt
 
 	Crashed bool
-	EndedAt time.Time
+	// IsLifeSign is set if the replica has run on after its supposed crash. Only the replica and its start time are then set.
+	IsLifeSign bool
+	EndedAt    time.Time
+}
+
+// Delivery says when a response was asked for, and over which connection.
+type Delivery struct {
+	SentAt time.Time
+	// ConnectedAt is when the connection was opened; zero if that is not known.
+	ConnectedAt time.Time
+}
+
+// incarnation is one process of a replica.
+type incarnation struct {
+	replica string
+	bornMs  int64
 }
 
 // Change says that the quarantine of a request has begun or ended.
@@ -52,8 +73,10 @@
 	epoch time.Time
 	// quarantined holds the requests whose quarantine was reported as a change.
 	quarantined map[uint64]bool
-	reports     []Report
-	changes     []Change
+	// lostAt holds when an incarnation has last ended a connection of this instance under an attempt.
+	lostAt  map[incarnation]time.Time
+	reports []Report
+	changes []Change
 }
 
 // New returns a screener that knows no suspect request.
@@ -62,6 +85,7 @@
 		table:       quarantiner.New(nil),
 		epoch:       now,
 		quarantined: map[uint64]bool{},
+		lostAt:      map[incarnation]time.Time{},
 	}
 }
 
@@ -71,6 +95,7 @@
 	return Verdict{
 		IsSuspect:      quarantiner.IsSuspect(suspect),
 		QuarantinedFor: quarantiner.Remaining(suspect, s.toMs(now)),
+		RetryAfter:     quarantiner.RetryAfter(suspect, s.toMs(now)),
 	}
 }
 
@@ -91,11 +116,65 @@
 }
 
 // RecordCrash records that the replica crashed while it ran the attempt.
-func (s *Screener) RecordCrash(now time.Time, a Attempt) { s.record(now, a, true) }
+func (s *Screener) RecordCrash(now time.Time, a Attempt) {
+	s.rememberLoss(now, incarnation{
+		replica: a.Replica,
+		bornMs:  a.BornMs,
+	})
+	s.record(now, a, true)
+}
 
 // RecordAnswer records that the replica answered the attempt.
 func (s *Screener) RecordAnswer(now time.Time, a Attempt) { s.record(now, a, false) }
 
+// RecordResponse refutes the crashes of the attempt's replica if it has responded, to a request sent since, over a connection that it had before: the process is the same.
+func (s *Screener) RecordResponse(now time.Time, a Attempt, d Delivery) {
+	key := incarnation{
+		replica: a.Replica,
+		bornMs:  a.BornMs,
+	}
+	lostAt, isKnown := s.lostAt[key]
+	if !isKnown || d.ConnectedAt.IsZero() || !d.ConnectedAt.Before(lostAt) || !d.SentAt.After(lostAt) {
+		return
+	}
+	delete(s.lostAt, key)
+	changed := s.table.Refute(key.replica, key.bornMs)
+	if len(changed) == 0 {
+		return
+	}
+	s.addReport(Report{
+		Attempt: Attempt{
+			Replica: a.Replica,
+			BornMs:  a.BornMs,
+		},
+		IsLifeSign: true,
+		EndedAt:    now,
+	})
+	for _, fingerprint := range changed {
+		s.noteChange(now, fingerprint)
+	}
+}
+
+func (s *Screener) rememberLoss(now time.Time, key incarnation) {
+	s.lostAt[key] = now
+	if len(s.lostAt) <= maxLosses {
+		return
+	}
+	oldest := key
+	for other, at := range s.lostAt {
+		if at.Before(s.lostAt[oldest]) {
+			oldest = other
+		}
+	}
+	delete(s.lostAt, oldest)
+}
+
+func (s *Screener) addReport(report Report) {
+	if len(s.reports) < maxReports {
+		s.reports = append(s.reports, report)
+	}
+}
+
 func (s *Screener) record(now time.Time, a Attempt, crashed bool) {
 	if !crashed && s.table.Find(a.Fingerprint) == nil {
 		// Nothing is known of the request that an answer could change.
@@ -110,9 +189,7 @@
 	if !s.table.Report(s.toMs(now), report.ToWire(now), index) {
 		return
 	}
-	if len(s.reports) < maxReports {
-		s.reports = append(s.reports, report)
-	}
+	s.addReport(report)
 	s.noteChange(now, a.Fingerprint)
 }
 
@@ -180,6 +257,9 @@
 
 // ToWire returns the report as it is sent at the given time.
 func (r *Report) ToWire(now time.Time) *wire.AttemptEnd {
+	if r.IsLifeSign {
+		return quarantiner.NewLifeSign(r.Replica, r.BornMs)
+	}
 	return &wire.AttemptEnd{
 		Fingerprint: r.Fingerprint,
 		Service:     r.Service,
--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -15,6 +15,8 @@
 	// minCrashes is how many replicas must have crashed under a request, and minRounds in how many successive rounds of attempts, for its quarantine.
 	minCrashes = 3
 	minRounds  = 3
+	// settleTime is how long after a crash the replica's next heartbeats may show that it has not crashed.
+	settleTime = 5 * time.Second
 	// Duration is how long a quarantine lasts after the last crash. One more crash after it renews the quarantine.
 	Duration = 10 * time.Minute
 	// maxPartialServices is in how many services replicas may crash for a request over shards to be kept from these services alone.
@@ -30,25 +32,60 @@
 // Quarantiner is the table of suspect requests, built by applying reports in order. Times are Unix milliseconds of one clock.
 type Quarantiner struct {
 	suspects map[uint64]*wire.SuspectRequest
+	// crashed counts the crashes of each incarnation in the records.
+	crashed map[incarnation]int
+}
+
+// incarnation is one process of a replica.
+type incarnation struct {
+	replica string
+	bornMs  int64
 }
 
 // New returns a table with the given records, such as those of a snapshot.
 func New(saved []*wire.SuspectRequest) *Quarantiner {
 	q := &Quarantiner{
 		suspects: map[uint64]*wire.SuspectRequest{},
+		crashed:  map[incarnation]int{},
 	}
 	for _, suspect := range saved {
-		q.suspects[suspect.GetFingerprint()] = suspect
+		q.store(suspect)
 	}
 	return q
 }
 
+// store adds a record or replaces the one with the same fingerprint.
+func (q *Quarantiner) store(suspect *wire.SuspectRequest) {
+	q.remove(suspect.GetFingerprint())
+	q.suspects[suspect.GetFingerprint()] = suspect
+	for _, crash := range suspect.GetCrashes() {
+		q.crashed[incarnationOf(crash)]++
+	}
+}
+
+func (q *Quarantiner) remove(fingerprint uint64) {
+	for _, crash := range q.suspects[fingerprint].GetCrashes() {
+		key := incarnationOf(crash)
+		if q.crashed[key]--; q.crashed[key] <= 0 {
+			delete(q.crashed, key)
+		}
+	}
+	delete(q.suspects, fingerprint)
+}
+
+func incarnationOf(crash *wire.ReplicaCrash) incarnation {
+	return incarnation{
+		replica: crash.GetReplica(),
+		bornMs:  crash.GetBornMs(),
+	}
+}
+
 // Find returns the record of the request with the fingerprint, or nil.
 func (q *Quarantiner) Find(fingerprint uint64) *wire.SuspectRequest { return q.suspects[fingerprint] }
 
 // Put adds a record or replaces the one with the same fingerprint.
 func (q *Quarantiner) Put(suspect *wire.SuspectRequest) {
-	q.suspects[suspect.GetFingerprint()] = suspect
+	q.store(suspect)
 	q.evict(suspect.GetLastCrashMs())
 }
 
@@ -68,6 +105,9 @@
 
 // IsUpdate reports whether the end of an attempt would change the table.
 func (q *Quarantiner) IsUpdate(attempt *wire.AttemptEnd) bool {
+	if isLifeSign(attempt) {
+		return q.crashed[signOf(attempt)] > 0
+	}
 	crashes := q.suspects[attempt.GetFingerprint()].GetCrashes()
 	if attempt.GetCrashed() {
 		return !slices.ContainsFunc(crashes, func(c *wire.ReplicaCrash) bool { return isSameReplica(c, attempt) })
@@ -80,6 +120,10 @@
 	if !q.IsUpdate(attempt) {
 		return false
 	}
+	if isLifeSign(attempt) {
+		q.refute(signOf(attempt), index)
+		return true
+	}
 	suspect := &wire.SuspectRequest{
 		Fingerprint: attempt.GetFingerprint(),
 	}
@@ -93,7 +137,7 @@
 		suspect.Crashes = slices.DeleteFunc(suspect.GetCrashes(), func(c *wire.ReplicaCrash) bool { return isRefuted(c, attempt) })
 	}
 	suspect.Index = index
-	q.suspects[suspect.GetFingerprint()] = suspect
+	q.store(suspect)
 	q.evict(nowMs)
 	return true
 }
@@ -128,11 +172,11 @@
 func (q *Quarantiner) evict(nowMs int64) {
 	for fingerprint, suspect := range q.suspects {
 		if nowMs-suspect.GetLastCrashMs() > recordTTL.Milliseconds() {
-			delete(q.suspects, fingerprint)
+			q.remove(fingerprint)
 		}
 	}
 	for len(q.suspects) > maxSuspects {
-		delete(q.suspects, q.oldest())
+		q.remove(q.oldest())
 	}
 }
 
@@ -160,6 +204,15 @@
 	return min(Duration, max(0, Duration-time.Duration(nowMs-suspect.GetLastCrashMs())*time.Millisecond))
 }
 
+// RetryAfter returns when the caller of a quarantined request may come again: once the last crash is known to be none, or at the end of the quarantine.
+func RetryAfter(suspect *wire.SuspectRequest, nowMs int64) time.Duration {
+	remaining := Remaining(suspect, nowMs)
+	if settled := remaining - (Duration - settleTime); settled > 0 {
+		return settled
+	}
+	return remaining
+}
+
 // AffectsShard reports whether the quarantine of a request over shards covers the shard. If replicas of only a few shards have crashed, it covers these alone.
 func AffectsShard(suspect *wire.SuspectRequest, service string) bool {
 	services := map[string]bool{}
--- a/internal/transport/controller/announcements.go
+++ b/internal/transport/controller/announcements.go
@@ -176,6 +176,9 @@
 		check.isForeign = table.IsUpdate(announcement) && table.IsForeign(replica, func(service string) bool {
 			return c.namedServices.contains(c.state.Publisher.Publication(), service)
 		})
+		if !check.isForeign {
+			c.lifeSigns.observe(replica)
+		}
 	})
 	return check, err
 }
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -92,6 +92,7 @@
 	// leaderChange wakes the commands that wait for a leader.
 	leaderChange *changeSignal
 	heartbeats   *heartbeats
+	lifeSigns    *lifeSigns
 	server       *listener.Server
 	client       *http.Client
 	stop         chan struct{}
@@ -174,10 +175,12 @@
 	c.snapshotter = newSnapshotter(settings.DataFolder, persisted.Snapshot, c.done)
 	c.saver = newSaver(store, c.log, c.meter, c.done)
 	c.heartbeats = newHeartbeats(c)
+	c.lifeSigns = newLifeSigns(c)
 	go c.snapshotter.run()
 	go c.saver.run()
 	go c.run()
 	go c.heartbeats.run()
+	go c.lifeSigns.run()
 	go c.joiner.run()
 	return c, nil
 }
@@ -237,6 +240,7 @@
 	<-c.snapshotter.done
 	<-c.saver.done
 	<-c.heartbeats.done
+	<-c.lifeSigns.done
 	for _, o := range c.outboxes {
 		o.close()
 	}
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -24,7 +24,8 @@
 // connection is an open connection to a replica.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader   *bufio.Reader
+	openedAt time.Time
 	// bytesWritten counts the bytes of the current attempt that were passed to the kernel.
 	bytesWritten int
 	// idleSince and expiresAt limit how long the connection may stay idle; a zero expiresAt sets no limit.
@@ -39,7 +40,8 @@
 
 func newConnection(raw net.Conn) *connection {
 	c := &connection{
-		Conn: raw,
+		Conn:     raw,
+		openedAt: time.Now(),
 	}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -342,6 +342,7 @@
 		}
 		canReuse := !response.Close && isFramed(response) && conn.reader.Buffered() == 0
 		conn.expiresAt = keepAliveExpiry(response)
+		outcome.ConnectedAt = conn.openedAt
 		return outcome, canReuse, nil
 	}
 	return scatterer.Outcome{}, false, errForeignResponses
