--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -57,6 +57,18 @@
 		isColdUpdate(announcement, existing)
 }
 
+// IsOutdated reports whether the announcement is of an earlier incarnation than the one under its id that may get requests, so that it has no effect. A drain or departure must then not be acknowledged: its sender may be the replica that gets them.
+func (e *Enroller) IsOutdated(announcement *wire.Replica) bool {
+	known := e.replicas[announcement.GetId()]
+	return announcement.GetBornMs() != 0 && announcement.GetBornMs() < known.GetBornMs() && e.MayGetRequests(announcement.GetId())
+}
+
+// MayGetRequests reports whether a replica of this id is ready, or was and may be so again.
+func (e *Enroller) MayGetRequests(id string) bool {
+	known := e.replicas[id]
+	return known != nil && (isReady(known) || isLost(known))
+}
+
 // Enroll applies the announcement committed at a journal index and reports whether it changed the table.
 func (e *Enroller) Enroll(announcement *wire.Replica, index uint64) bool {
 	if !e.IsUpdate(announcement) {
@@ -64,6 +76,9 @@
 	}
 	record := proto.CloneOf(announcement)
 	record.Index = index
+	if existing := e.replicas[record.GetId()]; existing.GetBornMs() == record.GetBornMs() {
+		record.Sequence = max(record.GetSequence(), existing.GetSequence())
+	}
 	e.keepColdEnd(record)
 	e.keepReplacementTime(record)
 	e.markHolderLeft(record)
@@ -86,9 +101,9 @@
 }
 
 // isStale reports whether the existing record of a replica overrides the announcement. A later incarnation
-// overrides an earlier one, and within an incarnation a higher sequence overrides a lower one. A replica that
-// has left stays so until its next incarnation, unless it was superseded by one that is gone; one that is
-// draining can only leave.
+// overrides an earlier one, and within an incarnation a higher sequence overrides a lower one, except that
+// nothing overrides a drain but a departure. A replica that has left stays so until its next incarnation, unless
+// it was superseded by one that is gone; one that is draining can only leave.
 func (e *Enroller) isStale(announcement, existing *wire.Replica) bool {
 	if existing == nil {
 		return false
@@ -97,7 +112,7 @@
 		return announcement.GetBornMs() < existing.GetBornMs()
 	}
 	if announcement.GetSequence() < existing.GetSequence() {
-		return true
+		return !isDrainOf(announcement, existing)
 	}
 	switch existing.GetState() {
 	case wire.ReplicaState_REPLICA_STATE_LEFT:
@@ -109,6 +124,11 @@
 	}
 }
 
+// isDrainOf reports whether the announcement is of the drain of the incarnation in the record, which may still get requests.
+func isDrainOf(announcement, existing *wire.Replica) bool {
+	return announcement.GetState() == wire.ReplicaState_REPLICA_STATE_DRAINING && (isReady(existing) || isLost(existing))
+}
+
 // canReturn reports whether the announcement of a superseded replica has an effect. It may leave, or take its
 // address back from a lost replica, which has either ended or never was there, or from one that started
 // earlier.
--- a/internal/state/enroller/enroller_test.go
+++ b/internal/state/enroller/enroller_test.go
@@ -36,6 +36,10 @@
 	}{
 		{"first announcement", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready)}, map[string]wire.ReplicaState{"a": ready}},
 		{"drains", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 5, 2, draining)}, map[string]wire.ReplicaState{"a": draining}},
+		{"drain below the known sequence", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1000, ready), newAnnouncement("a", "1:1", 5, 2, draining), newAnnouncement("a", "1:1", 5, 1001, ready)}, map[string]wire.ReplicaState{"a": draining}},
+		{"drain below the known sequence of one that is lost", []*wire.Replica{newAnnouncement("a", "1:1", 5, 9, ready), newAnnouncement("a", "1:1", 5, 9, lost), newAnnouncement("a", "1:1", 5, 2, draining)}, map[string]wire.ReplicaState{"a": draining}},
+		{"drain of an earlier incarnation", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 4, 2, draining)}, map[string]wire.ReplicaState{"a": ready}},
+		{"drain after leaving", []*wire.Replica{newAnnouncement("a", "1:1", 5, 3, left), newAnnouncement("a", "1:1", 5, 2, draining)}, map[string]wire.ReplicaState{"a": left}},
 		{"late heartbeat after the drain", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 5, 3, draining), newAnnouncement("a", "1:1", 5, 2, ready)}, map[string]wire.ReplicaState{"a": draining}},
 		{"higher sequence without the drain", []*wire.Replica{newAnnouncement("a", "1:1", 5, 3, draining), newAnnouncement("a", "1:1", 5, 4, ready)}, map[string]wire.ReplicaState{"a": draining}},
 		{"late heartbeat after leaving", []*wire.Replica{newAnnouncement("a", "1:1", 5, 1, ready), newAnnouncement("a", "1:1", 5, 2, left), newAnnouncement("a", "1:1", 5, 9, ready)}, map[string]wire.ReplicaState{"a": left}},
@@ -153,3 +157,26 @@
 		}
 	})
 }
+
+// TestAcknowledgedDrainsTakeEffect guards against a drain or departure that is acknowledged although its replica may still get requests, whatever was announced under its id before.
+func TestAcknowledgedDrainsTakeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(nil)
+		for index := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			announcement := newAnnouncement(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.SampledFrom([]string{"1:1", "1:2"}).Draw(t, "address"),
+				rapid.Int64Range(1, 3).Draw(t, "born"), rapid.Uint64Range(1, 9).Draw(t, "sequence"), rapid.SampledFrom([]wire.ReplicaState{ready, draining, left, lost}).Draw(t, "state"))
+			// Control acknowledges none of these unless it has an effect.
+			isRefused := e.IsOutdated(announcement) || e.IsForeign(announcement, func(string) bool { return true }) || e.isSuperseded(announcement)
+			if isRefused || announcement.GetState() == lost && e.Find(announcement.GetId()).GetState() != ready {
+				continue
+			}
+			if announcement.GetState() == left {
+				announcement = CompleteDeparture(announcement, e.Find(announcement.GetId()))
+			}
+			e.Enroll(announcement, uint64(index+1))
+			if isDrain := announcement.GetState() == draining || announcement.GetState() == left; isDrain && e.MayGetRequests(announcement.GetId()) {
+				t.Fatalf("%v has no effect on %v", announcement, e.Find(announcement.GetId()))
+			}
+		}
+	})
+}
--- a/internal/transport/controller/announcements.go
+++ b/internal/transport/controller/announcements.go
@@ -25,6 +25,19 @@
 	return fmt.Sprintf("replica %s: the departure may be of an earlier incarnation", e.Replica)
 }
 
+// OutdatedAnnouncementError reports an announcement of an earlier incarnation than the one in use.
+type OutdatedAnnouncementError struct {
+	Replica string
+	// BornMs and KnownBornMs are the start times of the announcement and of the incarnation in use, in Unix milliseconds.
+	BornMs      int64
+	KnownBornMs int64
+}
+
+// Error returns the id of the replica and the start times.
+func (e *OutdatedAnnouncementError) Error() string {
+	return fmt.Sprintf("replica %s: born %d is before the incarnation in use, born %d", e.Replica, e.BornMs, e.KnownBornMs)
+}
+
 // ForeignAnnouncementError reports that a drain was announced by a writer that does not speak for the replica in use.
 type ForeignAnnouncementError struct {
 	Replica string
@@ -35,12 +48,15 @@
 	return fmt.Sprintf("replica %s: the announcement contradicts a replica that is in use", e.Replica)
 }
 
-// Announce records the state of a replica from its heartbeat. New information is acknowledged once a quorum has stored it. A foreign announcement, as of enroller.IsForeign, changes nothing.
+// Announce records the state of a replica from its heartbeat. New information is acknowledged once a quorum has stored it. A foreign announcement, as of enroller.IsForeign, changes nothing; one of an earlier incarnation than the one in use returns an *OutdatedAnnouncementError.
 func (c *Controller) Announce(ctx context.Context, replica *wire.Replica) error {
 	check, err := c.checkAnnouncement(ctx, replica)
 	if err != nil {
 		return err
 	}
+	if check.outdated != nil {
+		return check.outdated
+	}
 	if check.isForeign {
 		return c.ignoreForeign(replica)
 	}
@@ -107,10 +123,34 @@
 	if err != nil {
 		return applier.Result{}, err
 	}
+	if check.outdated != nil {
+		return applier.Result{}, check.outdated
+	}
 	if check.isForeign {
 		return applier.Result{}, c.ignoreForeign(replica)
 	}
-	return c.command(ctx, enrollCommand(replica))
+	result, err := c.command(ctx, enrollCommand(replica))
+	if err != nil {
+		return result, err
+	}
+	return result, c.checkEffect(ctx, replica)
+}
+
+// checkEffect returns a *ForeignAnnouncementError if a replica that has announced its drain or departure may still get requests, so that it is not acknowledged.
+func (c *Controller) checkEffect(ctx context.Context, replica *wire.Replica) error {
+	if replica.GetState() != wire.ReplicaState_REPLICA_STATE_DRAINING && replica.GetState() != wire.ReplicaState_REPLICA_STATE_LEFT {
+		return nil
+	}
+	mayGetRequests := false
+	err := c.runInLoop(ctx, func(time.Time) {
+		mayGetRequests = c.state.Enroller.MayGetRequests(replica.GetId())
+	})
+	if err == nil && mayGetRequests {
+		return &ForeignAnnouncementError{
+			Replica: replica.GetId(),
+		}
+	}
+	return err
 }
 
 // checkLeader returns a *journaler.NotLeaderError if this instance is not the leader.
@@ -162,6 +202,8 @@
 type announcementCheck struct {
 	isUpdate  bool
 	isForeign bool
+	// outdated is set if the announcement is of an earlier incarnation than the one in use.
+	outdated *OutdatedAnnouncementError
 	// isAlive is set if the announcement is by the incarnation in the table, or a later one.
 	isAlive bool
 }
@@ -171,9 +213,17 @@
 	err := c.runInLoop(ctx, func(time.Time) {
 		table := c.state.Enroller
 		announcement := enroller.WithTimes(replica, c.journalTime(time.Now()))
-		check.isAlive = announcement.GetBornMs() >= table.Find(announcement.GetId()).GetBornMs()
+		knownBornMs := table.Find(announcement.GetId()).GetBornMs()
+		check.isAlive = announcement.GetBornMs() >= knownBornMs
+		if table.IsOutdated(announcement) {
+			check.outdated = &OutdatedAnnouncementError{
+				Replica:     announcement.GetId(),
+				BornMs:      announcement.GetBornMs(),
+				KnownBornMs: knownBornMs,
+			}
+		}
 		check.isUpdate = table.IsUpdate(announcement) || table.IsOpenDrain(announcement)
-		check.isForeign = table.IsUpdate(announcement) && table.IsForeign(replica, func(service string) bool {
+		check.isForeign = check.isUpdate && table.IsForeign(replica, func(service string) bool {
 			return c.namedServices.contains(c.state.Publisher.Publication(), service)
 		})
 		if !check.isForeign {
@@ -199,5 +249,6 @@
 func isRefusal(err error) bool {
 	var ambiguous *AmbiguousDepartureError
 	var foreign *ForeignAnnouncementError
-	return errors.As(err, &ambiguous) || errors.As(err, &foreign) || connect.CodeOf(err) == connect.CodeAborted
+	var outdated *OutdatedAnnouncementError
+	return errors.As(err, &ambiguous) || errors.As(err, &foreign) || errors.As(err, &outdated) || connect.CodeOf(err) == connect.CodeAborted
 }
--- a/internal/transport/controller/fleet_test.go
+++ b/internal/transport/controller/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -480,19 +481,32 @@
 		Sequence: 3,
 	}
 	check(t, c.Announce(ctx, inUse))
+	other := proto.CloneOf(inUse)
+	other.Id, other.Address, other.BornMs = "r2", "10.0.0.2:1", 9
+	check(t, c.Announce(ctx, other))
 	cases := []struct {
 		name   string
 		change func(r *wire.Replica)
 		want   bool
+		// isOutdated is set if the announcement is not acknowledged.
+		isOutdated bool
 	}{
-		{"own", func(r *wire.Replica) { r.Sequence = 4 }, true},
-		{"own, out of order", func(r *wire.Replica) { r.Sequence = 2 }, true},
-		{"earlier incarnation", func(r *wire.Replica) { r.BornMs = 4 }, false},
+		{"own", func(r *wire.Replica) { r.Sequence = 4 }, true, false},
+		{"own, out of order", func(r *wire.Replica) { r.Sequence = 2 }, true, false},
+		{"earlier incarnation", func(r *wire.Replica) { r.BornMs = 4 }, false, true},
+		{"drain of the earlier incarnation", func(r *wire.Replica) {
+			r.BornMs = 4
+			r.State = wire.ReplicaState_REPLICA_STATE_DRAINING
+		}, false, true},
+		{"drain at the address of another", func(r *wire.Replica) {
+			r.Address = "10.0.0.2:1"
+			r.State = wire.ReplicaState_REPLICA_STATE_DRAINING
+		}, false, false},
 		{"foreign", func(r *wire.Replica) {
 			r.Service = "s2"
 			r.Sequence = 9
-		}, false},
-		{"next incarnation", func(r *wire.Replica) { r.BornMs = 6 }, true},
+		}, false, false},
+		{"next incarnation", func(r *wire.Replica) { r.BornMs = 6 }, true, false},
 	}
 	for _, test := range cases {
 		c.heartbeats.mutex.Lock()
@@ -500,7 +514,18 @@
 		c.heartbeats.mutex.Unlock()
 		announcement := proto.CloneOf(inUse)
 		test.change(announcement)
-		check(t, c.Announce(ctx, announcement))
+		err := c.Announce(ctx, announcement)
+		var outdated *OutdatedAnnouncementError
+		var foreign *ForeignAnnouncementError
+		isRefused := errors.As(err, &foreign) && announcement.GetState() == wire.ReplicaState_REPLICA_STATE_DRAINING
+		if isOutdated := errors.As(err, &outdated); isOutdated != test.isOutdated || err != nil && !isOutdated && !isRefused {
+			t.Errorf("%s: %v, want outdated %t", test.name, err, test.isOutdated)
+		}
+		known, findErr := c.FindReplica(ctx, "r1")
+		check(t, findErr)
+		if err == nil && announcement.GetState() != known.GetState() {
+			t.Errorf("%s: acknowledged without effect on %v", test.name, known)
+		}
 		c.heartbeats.mutex.Lock()
 		_, got := c.heartbeats.lastHeartbeatAt["r1"]
 		c.heartbeats.mutex.Unlock()
