Take no response with a status that is none (MIXED)

What callers would see: an answer that belongs to no request, or one with a status that HTTP does not know.

Cause: each status below 200 counted as an interim response, also 000 and 099, so that the body of such a response was read as the next one: a reply within it was taken for the answer. After 101 the bytes of another protocol were read in the same way. 600 to 999, and a version other than HTTP/1, were taken for answers and relayed. That a signed 000 with an ordinary body did not reach callers was luck: its body is no status line. Without a body the attempt waited until its time limit.

Change: a response is final with 200 to 599, interim with 100 to 199 but 101, and of HTTP/1; else its connection is closed and the attempt has failed at once (InvalidStatusError). The status in a peer's answer to a diverted request is checked too.

--- a/internal/coordination/scatterer/decision.go
+++ b/internal/coordination/scatterer/decision.go
@@ -79,8 +79,10 @@
 	j.setDecision(d)
 }
 
-// CanRelay reports whether the caller may get the reply as it is. A reply that came after a run must not tell the caller of a request that may run once to send it again.
-func (r *Request) CanRelay(reply *Reply) bool { return r.Route.Idempotent || !reply.PromisesNoRun() }
+// CanRelay reports whether the caller may get the reply as it is. Its status must be one of HTTP, and one that came after a run must not tell the caller of a request that may run once to send it again.
+func (r *Request) CanRelay(reply *Reply) bool {
+	return IsFinalStatus(reply.Status) && (r.Route.Idempotent || !reply.PromisesNoRun())
+}
 
 // decideFailure relays the failed reply of a route without shards, or decides that there is no answer. The decision is Refused only if no attempt can have run.
 func (j *Job) decideFailure(now time.Time, reason Reason) {
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -35,6 +35,9 @@
 	return r.Route.Priority
 }
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 // HeaderField is one header field of a reply.
 type HeaderField struct {
 	Name  string
@@ -53,6 +56,9 @@
 // IsSuccess reports whether the reply has a success status and a signature, as required of an answer.
 func (r *Reply) IsSuccess() bool { return r.Status >= 200 && r.Status < 300 && r.Stamp != "" }
 
+// IsFinalStatus reports whether the number is the status of a response, other than an interim one.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // PromisesNoRun reports whether callers take the reply's status as a promise that the request has not run and never will.
 func (r *Reply) PromisesNoRun() bool {
 	switch r.Status {
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -366,18 +367,45 @@
 	return response, body, response.Body.Close()
 }
 
-// readHead reads the head of a response and of the interim ones before it.
+// readHead reads the head of a response and of the interim ones before it. The error is an *InvalidStatusError for one that HTTP/1 does not know.
 func readHead(conn *connection, request *http.Request) (*http.Response, error) {
 	conn.startHead()
 	defer conn.endHead()
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case response.ProtoMajor == 1 && scatterer.IsFinalStatus(response.StatusCode):
+			return response, nil
+		case response.ProtoMajor == 1 && isInterimStatus(response.StatusCode):
+		default:
+			// What follows may look like a response, but is none to the request.
+			return nil, &InvalidStatusError{
+				Proto:  response.Proto,
+				Status: response.Status,
+			}
 		}
 	}
 }
 
+// isInterimStatus reports whether a response with the status is followed by another one. After 101 the connection would have another protocol, which no request asks for.
+func isInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// InvalidStatusError reports a response whose status or version HTTP/1 does not know.
+type InvalidStatusError struct {
+	Proto  string
+	Status string
+}
+
+// Error returns the status line.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("no status: %s %s", e.Proto, e.Status)
+}
+
 // isFramed reports whether the end of the body is marked by a length or by chunks rather than by closing the connection.
 func isFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -157,6 +157,11 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// withStatus returns a response to request 1 with the status and body.
+func withStatus(status, body string) string {
+	return strings.Replace(okResponse("1", body), "200 OK", status+" Status", 1)
+}
+
 func newExchanger(limit int) *Exchanger {
 	return New(testCodec{}, func(Target) int { return limit }, func(Target) bool { return true }, func() {})
 }
@@ -177,7 +182,7 @@
 	}, deadline)
 }
 
-// TestResponses sends two requests in a row through one exchanger for each kind of response a replica may send.
+// TestResponses sends two requests in a row through one exchanger for each kind of response a replica may send. It guards against answers that belong to no request, or whose status is none.
 func TestResponses(t *testing.T) {
 	unframed := "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole<end>"
 	cases := []struct {
@@ -198,6 +203,19 @@
 		{"response to an earlier request first", []string{okResponse("1", "one"), okResponse("1", "again") + okResponse("2", "two")}, [2]string{"replied one", "replied two"}, 1},
 		{"only responses to other requests", []string{okResponse("7", "x") + okResponse("8", "y") + okResponse("9", "z"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"interim response", []string{"HTTP/1.1 102 Processing\r\n\r\n" + okResponse("1", "one"), okResponse("2", "two")}, [2]string{"replied one", "replied two"}, 1},
+		{"several interim responses", []string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okResponse("1", "one"), okResponse("2", "two")}, [2]string{"replied one", "replied two"}, 1},
+		{"status 000", []string{withStatus("000", "x"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 000 without a body", []string{withStatus("000", ""), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 000 before a response", []string{withStatus("000", "") + okResponse("1", "one"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 000 whose body is a response", []string{withStatus("000", okResponse("1", "one")), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 099 whose body is a response", []string{withStatus("099", okResponse("1", "one")), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"another protocol", []string{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + okResponse("1", "one"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 600", []string{withStatus("600", "x"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 999", []string{withStatus("999", "x"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status of four digits", []string{withStatus("2000", "x"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"negative status", []string{withStatus("-20", "x"), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
+		{"status 599", []string{withStatus("599", "x"), okResponse("2", "two")}, [2]string{"replied x", "replied two"}, 1},
+		{"later version", []string{strings.Replace(okResponse("1", "one"), "HTTP/1.1", "HTTP/3.0", 1), okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"closed without response", []string{"close", okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"no response until the deadline", []string{"hang", okResponse("2", "two")}, [2]string{"broken ", "replied two"}, 2},
 		{"rejected", []string{"HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", okResponse("2", "two")}, [2]string{"rejected ", "replied two"}, 1},
--- a/internal/transport/forwarder/older_peer_test.go
+++ b/internal/transport/forwarder/older_peer_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// TestOlderPeerRelaysFailure guards against a status after a run that a peer of an older build passes on, and that promises the caller of a request that may run once that it has not run.
+// TestOlderPeerRelaysFailure guards against a status that a peer of an older build passes on, and that is none, or promises after a run that the request has not run.
 func TestOlderPeerRelaysFailure(t *testing.T) {
 	f := newTestForwarder(t, "entry", "a")
 	for _, isIdempotent := range []bool{false, true} {
@@ -117,20 +117,16 @@
 			},
 			tried: []*diverter.Peer{{}},
 		}
-		for status, promisesNoRun := range map[uint32]bool{
-			408: true,
-			421: true,
-			429: true,
-			500: false,
-			503: true,
-		} {
+		for _, status := range []uint32{0, 99, 101, 408, 421, 429, 500, 503, 600, 1 << 31} {
+			isStatus := status == 500 || status >= 408 && status <= 503
+			promisesNoRun := status != 500
 			got := v.newAnswer(&wire.DivertResponse{
 				Kind: uint32(scatterer.Relayed),
 				Replies: []*wire.DivertReply{{
 					Status: status,
 				}},
 			}).Decision
-			if isRelayed := got.Kind == scatterer.Relayed; isRelayed != (isIdempotent || !promisesNoRun) {
+			if isRelayed := got.Kind == scatterer.Relayed; isRelayed != (isStatus && (isIdempotent || !promisesNoRun)) {
 				t.Errorf("%d, idempotent %t: %s", status, isIdempotent, got.Kind)
 			}
 		}
