--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -258,6 +258,9 @@
 		j.recordOutcome(now, a, results[i].Outcome)
 	}
 	if j.decision != nil {
+		for i := range results {
+			results[i].Outcome.Reply.Release()
+		}
 		return nil
 	}
 	var attempts []*Attempt
@@ -274,6 +277,7 @@
 	s := j.shards[r.Attempt.Shard]
 	hadReply := s.reply != nil
 	if hadReply && !r.Outcome.IsMerged {
+		r.Outcome.Reply.Release()
 		return nil
 	}
 	s.applyOutcome(r.Attempt, r.Outcome)
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -1,7 +1,6 @@
 package scatterer
 
 import (
-	"net/http"
 	"time"
 
 	"pimentogate.example/pimentogate/internal/coordination/apportioner"
@@ -35,8 +34,15 @@
 	return r.Route.Priority
 }
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
+// Statuses of HTTP.
+const (
+	minFinalStatus           = 200
+	statusRequestTimeout     = 408
+	statusMisdirectedRequest = 421
+	statusTooManyRequests    = 429
+	statusServiceUnavailable = 503
+	maxStatus                = 599
+)
 
 // HeaderField is one header field of a reply.
 type HeaderField struct {
@@ -51,18 +57,27 @@
 	Stamp  string
 	Fields []HeaderField
 	Body   []byte
+	// Lease holds the memory of a large body; nil if none is counted. It is released with the reply at the latest.
+	Lease *limiter.ByteLease
+}
+
+// Release ends the use of the reply, which may be nil.
+func (r *Reply) Release() {
+	if r != nil {
+		r.Lease.Release()
+	}
 }
 
 // IsSuccess reports whether the reply has a success status and a signature, as required of an answer.
 func (r *Reply) IsSuccess() bool { return r.Status >= 200 && r.Status < 300 && r.Stamp != "" }
 
 // IsFinalStatus reports whether the number is the status of a response, other than an interim one.
-func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxStatus }
 
 // PromisesNoRun reports whether callers take the reply's status as a promise that the request has not run and never will.
 func (r *Reply) PromisesNoRun() bool {
 	switch r.Status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case statusRequestTimeout, statusMisdirectedRequest, statusTooManyRequests, statusServiceUnavailable:
 		return true
 	default:
 		return false
--- a/internal/transport/exchanger/endless_test.go
+++ b/internal/transport/exchanger/endless_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"pimentogate.example/pimentogate/internal/coordination/limiter"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 )
 
@@ -116,7 +118,7 @@
 	}
 }
 
-// TestBodiesShareMemory guards against many large bodies at once, each within the limit of one, filling the memory.
+// TestBodiesShareMemory guards against many large bodies at once, each within the limit of one, filling the memory, be it while they are read or until their callers have got them.
 func TestBodiesShareMemory(t *testing.T) {
 	large := strings.Repeat("x", 2*bodyChunkSize)
 	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(large), large)
@@ -125,20 +127,48 @@
 		"chunks": chunked,
 	} {
 		e := newExchanger(4)
-		e.bodyBudget.TryAcquire(maxBufferedBodies)
-		f := newFakeReplica(t, response, okResponse("1", "small"), response)
+		budget := e.bodies.budget
+		full := []*limiter.ByteLease{budget.NewLease("one"), budget.NewLease("two")}
+		for _, lease := range full {
+			lease.TryGrow(maxBufferedServiceBodies)
+		}
+		f := newFakeReplica(t, response, okResponse("1", "small"), response, response)
 		if got := f.do(e, "1", 3, true, time.Second); got.Kind != scatterer.OutcomeBroken || got.Cause != errBodiesTooLarge.Error() {
 			t.Errorf("%s, large body beyond the memory for all: %s (%s)", name, got.Kind, got.Cause)
 		}
 		if got := f.do(e, "1", 3, true, time.Second); got.Kind != scatterer.OutcomeReplied {
 			t.Errorf("%s, small body: %s (%s)", name, got.Kind, got.Cause)
 		}
-		e.bodyBudget.Release(maxBufferedBodies)
-		if got := f.do(e, "1", 3, true, time.Second); got.Kind != scatterer.OutcomeReplied || len(got.Reply.Body) != len(large) {
-			t.Errorf("%s, large body: %s (%s)", name, got.Kind, got.Cause)
+		full[1].Release()
+		if got := f.do(e, "1", 3, true, time.Second); got.Kind != scatterer.OutcomeBroken || got.Cause != errBodiesTooLarge.Error() {
+			t.Errorf("%s, large body beyond the memory for the service: %s (%s)", name, got.Kind, got.Cause)
+		}
+		full[0].Release()
+		got := f.do(e, "1", 3, true, time.Second)
+		if got.Kind != scatterer.OutcomeReplied || string(got.Reply.Body) != large {
+			t.Fatalf("%s, large body: %s (%s)", name, got.Kind, got.Cause)
+		}
+		if held := budget.Held(); held < int64(len(large))-bodyChunkSize {
+			t.Errorf("%s: %d bytes counted of a body that waits for its caller", name, held)
+		}
+		got.Reply.Release()
+		if held := budget.Held(); held != 0 {
+			t.Errorf("%s: %d bytes counted of a body that is no longer used", name, held)
 		}
-		if !e.bodyBudget.TryAcquire(maxBufferedBodies) {
-			t.Errorf("%s: a body that was read is still counted", name)
+	}
+}
+
+// TestDroppedRepliesLeaveBudget guards against bodies that are counted for good because nothing has released their replies.
+func TestDroppedRepliesLeaveBudget(t *testing.T) {
+	e := newExchanger(4)
+	f := newFakeReplica(t, okResponse("1", strings.Repeat("x", 4*bodyChunkSize)))
+	if got := f.do(e, "1", 3, true, time.Second); got.Kind != scatterer.OutcomeReplied {
+		t.Fatalf("%s (%s)", got.Kind, got.Cause)
+	}
+	for deadline := time.Now().Add(endlessTimeout); e.bodies.budget.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes counted", e.bodies.budget.Held())
 		}
+		runtime.GC()
 	}
 }
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -62,18 +62,18 @@
 
 // Exchanger sends attempts to replicas and pools the connections.
 type Exchanger struct {
-	codec      Codec
-	accepts    func(Target) bool
-	pools      *poolSet
-	bodyBudget *limiter.ByteBudget
+	codec   Codec
+	accepts func(Target) bool
+	pools   *poolSet
+	bodies  *bodyStore
 }
 
 // New returns an exchanger without connections. connectionLimit returns the maximum number of connections to a replica, accepts reports whether an attempt may still be sent to it, and onOpen is called for each connection opened.
 func New(codec Codec, connectionLimit func(Target) int, accepts func(Target) bool, onOpen func()) *Exchanger {
 	return &Exchanger{
-		codec:      codec,
-		accepts:    accepts,
-		bodyBudget: limiter.NewByteBudget(maxBufferedBodies),
+		codec:   codec,
+		accepts: accepts,
+		bodies:  newBodyStore(),
 		pools: &poolSet{
 			byID:            map[string]*pool{},
 			connectionLimit: connectionLimit,
@@ -292,7 +292,7 @@
 		done:   writeDone,
 	}
 	w.start()
-	outcome, canReuse, err := e.receiveResponse(conn, call, encoded.request)
+	outcome, canReuse, err := e.receiveResponse(conn, call, encoded.request, target.Service)
 	x.detach()
 	if err == nil {
 		canReuse = canReuse && isFullyWritten(writeDone)
@@ -331,16 +331,18 @@
 const writeEndTimeout = 100 * time.Millisecond
 
 // receiveResponse reads responses until one belongs to the call, and reports whether the connection can be reused.
-func (e *Exchanger) receiveResponse(conn *connection, call *Call, request *http.Request) (scatterer.Outcome, bool, error) {
+func (e *Exchanger) receiveResponse(conn *connection, call *Call, request *http.Request, service string) (scatterer.Outcome, bool, error) {
 	for range maxForeignResponses {
-		response, body, err := e.readResponse(conn, request) //nolint:bodyclose // readResponse has read and closed it
+		response, body, lease, err := e.readResponse(conn, request, service) //nolint:bodyclose // readResponse has read and closed it
 		if err != nil {
 			return scatterer.Outcome{}, false, err
 		}
 		outcome, matches := e.codec.Decode(call, response, body)
 		if !matches {
+			lease.Release()
 			continue
 		}
+		keep(&outcome, lease)
 		canReuse := !response.Close && isFramed(response) && conn.reader.Buffered() == 0
 		conn.expiresAt = keepAliveExpiry(response)
 		outcome.ConnectedAt = conn.openedAt
@@ -351,20 +353,17 @@
 
 var errForeignResponses = errors.New("only answers to other requests")
 
-// readResponse reads one complete response, skipping interim (1xx) ones.
-func (e *Exchanger) readResponse(conn *connection, request *http.Request) (*http.Response, []byte, error) {
+// readResponse reads one complete response, skipping interim (1xx) ones. The lease holds the memory of its body.
+func (e *Exchanger) readResponse(conn *connection, request *http.Request, service string) (*http.Response, []byte, *limiter.ByteLease, error) {
 	response, err := readHead(conn, request)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	reader := &bodyReader{
-		budget: e.bodyBudget,
-	}
-	body, err := reader.read(response)
+	body, lease, err := e.bodies.read(response, service)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	return response, body, response.Body.Close()
+	return response, body, lease, response.Body.Close()
 }
 
 // readHead reads the head of a response and of the interim ones before it. The error is an *InvalidStatusError for one that HTTP/1 does not know.
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -192,8 +192,9 @@
 	r.forwarder.recordRelayed(a.replica, &outcome)
 	part := newRelayPart(a.number, &outcome)
 	// A record can be in the merged top K only if it is in the top K of its part.
-	if !r.merges && outcome.Reply != nil && outcome.Reply.IsSuccess() {
+	if reply := outcome.Reply; reply != nil && reply.IsSuccess() && (!r.merges || reply.Lease != nil) {
 		part.Body = merger.TopRecords([][]byte{part.Body}, r.topK)
+		reply.Release()
 	}
 	r.parts <- part
 }
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -27,8 +27,11 @@
 	request *activeRequest
 }
 
-// RecordWritten records that the answer has been written to the caller. It updates the overrun estimate of answers cut at the soft deadline.
+// RecordWritten records that the answer has been written to the caller, so that its replies are no longer used. It updates the overrun estimate of answers cut at the soft deadline.
 func (a *Answer) RecordWritten() {
+	for _, reply := range a.Decision.Replies {
+		reply.Release()
+	}
 	if a.request == nil {
 		return
 	}
--- a/internal/transport/launcher/garbage.go
+++ b/internal/transport/launcher/garbage.go
@@ -12,6 +12,8 @@
 const (
 	// entryGCPercent is how much the heap of an entry instance may grow before garbage is collected even while requests are in flight, in percent.
 	entryGCPercent = 400
+	// entryMemoryLimit is the size of an entry instance, in bytes, from which on garbage is collected as often as it takes to stay within it. It leaves a third of the smallest machines for what the runtime does not count.
+	entryMemoryLimit = 96 << 20
 	// idleCheckInterval is the interval at which an idle process is noticed.
 	idleCheckInterval = 50 * time.Millisecond
 	// allocatedMetric is the number of bytes that the process has allocated in all.
@@ -30,6 +32,7 @@
 // newGarbageCollector starts the garbage collector of a process that answers requests, of which inFlight returns the current number.
 func newGarbageCollector(inFlight func() int) *garbageCollector {
 	debug.SetGCPercent(entryGCPercent)
+	debug.SetMemoryLimit(entryMemoryLimit)
 	g := &garbageCollector{
 		inFlight: inFlight,
 		policy:   collector.New(time.Now()),
