Limit the responses of upstreams on the product's own interface

Cause: a search read its response, or the report of an error, to its end, whatever its size; runs had a limit for responses only. The clients of try, compare and drive read answers in the same way.

Change: a transport fails beyond the limit of a body, whatever its status (NewLimitedTransport).

--- a/internal/transport/assembler/request.go
+++ b/internal/transport/assembler/request.go
@@ -21,6 +21,9 @@
 	Body          []byte   `json:"-"`
 }
 
+// maxAnswerBytes limits an answer; a longer one can't be decoded.
+const maxAnswerBytes = 16 << 20
+
 // SendRequest sends one request to an entry instance and decodes the answer; the action is query or run.
 func SendRequest(ctx context.Context, client *http.Client, address, service, action, body string) (*Answer, error) {
 	url := fmt.Sprintf("http://%s/v1/services/%s/%s", address, service, action)
@@ -36,7 +39,7 @@
 	answer := &Answer{
 		Status: response.StatusCode,
 	}
-	if answer.Body, err = io.ReadAll(response.Body); err != nil {
+	if answer.Body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
 	if err := json.Unmarshal(answer.Body, answer); err != nil {
--- a/internal/transport/loader/remote.go
+++ b/internal/transport/loader/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -110,6 +111,9 @@
 	return sumRecords(records), nil
 }
 
+// maxRecordBytes limits the record of a stand-in.
+const maxRecordBytes = 64 << 20
+
 func readRecord(ctx context.Context, address string) (responder.Record, error) {
 	var record responder.Record
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/record", http.NoBody)
@@ -121,7 +125,7 @@
 		return record, err
 	}
 	defer response.Body.Close()
-	err = json.NewDecoder(response.Body).Decode(&record)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxRecordBytes)).Decode(&record)
 	return record, err
 }
 
--- a/internal/transport/sender/once.go
+++ b/internal/transport/sender/once.go
@@ -76,10 +76,10 @@
 // Send writes the request unless mayWrite, which is called right before the first byte, returns false. The result tells whether the request is certain not to have been written or started.
 func (o *OneShotConn) Send(ctx context.Context, request *wire.RunRequest, mayWrite func(now time.Time) bool) runner.DispatchResult {
 	client := wireconnect.NewUpstreamServiceClient(&http.Client{
-		Transport: &oneShotTransport{
+		Transport: listener.NewLimitedTransport(&oneShotTransport{
 			conn:     o,
 			mayWrite: mayWrite,
-		},
+		}, maxRunResponse),
 		// Following a redirect would send a second request.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}, "http://"+o.address, connect.WithReadMaxBytes(maxRunResponse))
--- a/internal/transport/sender/search.go
+++ b/internal/transport/sender/search.go
@@ -13,6 +13,9 @@
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
 
+// maxSearchResponse is the maximum size of an upstream's response to a search, in bytes.
+const maxSearchResponse = 16 << 20
+
 // Result is the result of a search attempt: a reply or an error.
 type Result struct {
 	Attempt uint64
@@ -47,9 +50,11 @@
 // New returns a sender that reports the result of each search and forward to results; allowance returns how many connections to an address are currently allowed.
 func New(results chan<- Result, allowance func(ctx context.Context, address string) int) *Sender {
 	connections := NewConnectionLimiter(allowance)
+	upstreamHTTPClient := listener.NewSingleConnectionClient(connections.dialSearch)
+	upstreamHTTPClient.Transport = listener.NewLimitedTransport(upstreamHTTPClient.Transport, maxSearchResponse)
 	return &Sender{
 		Connections:        connections,
-		upstreamHTTPClient: listener.NewSingleConnectionClient(connections.dialSearch),
+		upstreamHTTPClient: upstreamHTTPClient,
 		upstreamClients:    map[string]wireconnect.UpstreamServiceClient{},
 		peerHTTPClient:     listener.NewClient(),
 		peerClients:        map[string]wireconnect.PeerServiceClient{},
@@ -98,7 +103,7 @@
 	s.cancels[attempt] = cancel
 	client, ok := s.upstreamClients[address]
 	if !ok {
-		client = wireconnect.NewUpstreamServiceClient(s.upstreamHTTPClient, "http://"+address)
+		client = wireconnect.NewUpstreamServiceClient(s.upstreamHTTPClient, "http://"+address, connect.WithReadMaxBytes(maxSearchResponse))
 		s.upstreamClients[address] = client
 	}
 	return client
