Keep a crash that control can't know of yet

What callers saw: none of it; a test of quarantines failed once in three runs, since a request that all entry instances refused was sent once more.

Cause: a record of control took the place of this instance's own, whose last crash had not reached control, so that the request was let through until its report came back.

Change: crashes that this instance has seen within the last second are kept when a record of control replaces its own.

Failed before: TestUnreportedCrashesCount.

--- a/internal/coordination/screener/life_test.go
+++ b/internal/coordination/screener/life_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pimentogate.example/pimentogate/pkg/wire"
 )
 
 // TestResponsesThatRefuteCrashes guards against a request that stays quarantined although a replica answers others over the connections that it had, and against responses that prove nothing: they may be of the next process, or were sent before the crash.
@@ -46,6 +50,27 @@
 	}
 }
 
+// TestUnreportedCrashesCount guards against a quarantined request that is sent once more, because what control says does not have the last crash yet.
+func TestUnreportedCrashesCount(t *testing.T) {
+	s := New(start)
+	now := crashThrice(s)
+	record := &wire.SuspectRequest{
+		Fingerprint: 7,
+		Index:       5,
+		Crashes:     s.table.Find(7).GetCrashes()[:2],
+	}
+	s.Update(now.Add(reportTime-1), []*wire.SuspectRequest{record}, 0)
+	if s.Check(now, 7).QuarantinedFor == 0 || s.table.Find(7).GetIndex() != 5 {
+		t.Errorf("released by a record without the last crash: %v", s.table.Find(7))
+	}
+	later := proto.CloneOf(record)
+	later.Index++
+	s.Update(now.Add(reportTime), []*wire.SuspectRequest{later}, 0)
+	if s.Check(now, 7).QuarantinedFor != 0 {
+		t.Errorf("quarantined by a crash that control does not confirm: %v", s.table.Find(7))
+	}
+}
+
 // TestLossesAreBounded guards against memory that grows with the replicas that have ended a connection.
 func TestLossesAreBounded(t *testing.T) {
 	s := New(start)
--- a/internal/coordination/screener/screener.go
+++ b/internal/coordination/screener/screener.go
@@ -12,6 +12,8 @@
 const (
 	// maxReports bounds the ends of attempts that wait to be reported; further ones are dropped.
 	maxReports = 512
+	// reportTime is how long a crash that this instance has seen may take to be part of what control says.
+	reportTime = time.Second
 	// maxLosses bounds the incarnations that have ended a connection; the oldest are dropped first.
 	maxLosses = 1024
 )
@@ -202,11 +204,35 @@
 		}
 		suspect := proto.CloneOf(record)
 		suspect.LastCrashMs += shift
+		before := s.table.Find(record.GetFingerprint())
 		s.table.Put(suspect)
+		s.addUnreported(now, before)
 		s.noteChange(now, suspect.GetFingerprint())
 	}
 }
 
+// addUnreported adds the crashes of a record, which was replaced by that of control, that control can't know of yet.
+func (s *Screener) addUnreported(now time.Time, before *wire.SuspectRequest) {
+	index := s.table.Find(before.GetFingerprint()).GetIndex()
+	for _, crash := range before.GetCrashes() {
+		lostAt, isOwn := s.lostAt[incarnation{
+			replica: crash.GetReplica(),
+			bornMs:  crash.GetBornMs(),
+		}]
+		if !isOwn || now.Sub(lostAt) >= reportTime {
+			continue
+		}
+		s.table.Report(s.toMs(lostAt), &wire.AttemptEnd{
+			Fingerprint: before.GetFingerprint(),
+			Service:     crash.GetService(),
+			Replica:     crash.GetReplica(),
+			BornMs:      crash.GetBornMs(),
+			Crashed:     true,
+			Round:       crash.GetRound(),
+		}, index)
+	}
+}
+
 // noteChange adds a change if the quarantine of the request has begun or ended.
 func (s *Screener) noteChange(now time.Time, fingerprint uint64) {
 	isQuarantined := s.Check(now, fingerprint).QuarantinedFor > 0
