--- a/internal/transport/exchanger/encode.go
+++ b/internal/transport/exchanger/encode.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -37,8 +39,33 @@
 		return
 	}
 	w := &headWriter{}
-	c.err = c.request.Write(w)
-	c.head = w.head
+	if c.err = c.request.Write(w); c.err != nil {
+		return
+	}
+	c.head, c.err = setTarget(w.head, call)
+}
+
+// setTarget replaces the request line of an encoded head by one with the call's path and query byte for byte. net/http puts a colon before a path that begins with two slashes.
+func setTarget(head []byte, call *Call) ([]byte, error) {
+	isSeparator := func(b rune) bool { return b <= ' ' || b == 0x7f }
+	if call.Path == "" || strings.ContainsFunc(call.Path, isSeparator) {
+		return nil, &InvalidTargetError{
+			Target: call.Path,
+		}
+	}
+	_, fields, _ := bytes.Cut(head, lineEnd)
+	line := call.Method + " " + call.Path + " HTTP/1.1\r\n"
+	return append([]byte(line), fields...), nil
+}
+
+// InvalidTargetError reports a path and query that can't be part of a request line.
+type InvalidTargetError struct {
+	Target string
+}
+
+// Error returns the target.
+func (e *InvalidTargetError) Error() string {
+	return fmt.Sprintf("invalid request target %q", e.Target)
 }
 
 // headWriter keeps what is written to it up to the empty line after the header.
--- a/internal/transport/forwarder/caller_server.go
+++ b/internal/transport/forwarder/caller_server.go
@@ -35,6 +35,8 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			// Each request is answered by the handler.
+			DisableGeneralOptionsHandler: true,
 		},
 		socket: socket,
 		done:   make(chan struct{}),
