Refuse a drain without a start time where the replica has stated one (DRAIN)

Cause: an announcement without a start time orders before all that have one, but was not taken as one of an earlier incarnation, so that its drain was answered 200 without effect: that of a replica that states none, after a check-in of another writer that does.

Failed before: TestOutdatedAnnouncements (status 200, want 503).

--- a/internal/state/enroller/enroller.go
+++ b/internal/state/enroller/enroller.go
@@ -60,7 +60,7 @@
 // IsOutdated reports whether the announcement is of an earlier incarnation than the one under its id that may get requests, so that it has no effect. A drain or departure must then not be acknowledged: its sender may be the replica that gets them.
 func (e *Enroller) IsOutdated(announcement *wire.Replica) bool {
 	known := e.replicas[announcement.GetId()]
-	return announcement.GetBornMs() != 0 && announcement.GetBornMs() < known.GetBornMs() && e.MayGetRequests(announcement.GetId())
+	return announcement.GetBornMs() < known.GetBornMs() && e.MayGetRequests(announcement.GetId())
 }
 
 // MayGetRequests reports whether a replica of this id is ready, or was and may be so again.
