Bound the connections that clients may hold open

What callers saw: clients that connect and send nothing take every descriptor of a process, at any of its listeners; nobody else is answered there, and the process can't call its own peers.

Cause: no listener limits its connections, and accepting stops only when the descriptors run out. What waits unread in each connection is not limited either, and counts as memory.

Ruled out: descriptors held by replicas' connections (some 30 of 512).

Change: each listener has a gate. The shares follow from the memory and descriptors of the process (resources in the settings).

--- a/internal/protocol/checker/forwarder.go
+++ b/internal/protocol/checker/forwarder.go
@@ -34,6 +34,8 @@
 	// ColdOverage and ColdTolerance state by how much the requests at a cold replica may exceed its rate in a second: to that factor, and by ColdTolerance requests.
 	ColdOverage   float64 `json:"cold-overage"`
 	ColdTolerance float64 `json:"cold-tolerance"`
+	// Resources is what the process may use.
+	Resources Resources `json:"resources"`
 }
 
 const (
@@ -57,6 +59,7 @@
 		LogLevel:          defaultLogLevel,
 		AllotmentWindowMs: defaultAllotmentWindowMs,
 		ColdOverage:       defaultColdOverage,
+		Resources:         EntryResources(),
 	}
 	return readSettings(path, settings, checkForwarder)
 }
@@ -83,4 +86,5 @@
 	v.require("cold-overage", s.ColdOverage >= 1, "at least 1")
 	v.require("cold-tolerance", s.ColdTolerance >= 0, "0 or more")
 	v.requireLogLevel(s.LogLevel)
+	checkResources(v, &s.Resources)
 }
--- a/internal/protocol/checker/settings.go
+++ b/internal/protocol/checker/settings.go
@@ -31,6 +31,8 @@
 	Formation *Formation `json:"formation,omitempty"`
 	// Platform is set if the instance also serves a platform's own protocol.
 	Platform *PlatformControl `json:"platform,omitempty"`
+	// Resources is what the process may use.
+	Resources Resources `json:"resources"`
 }
 
 // WireMembers returns the initial membership as stored in the journal.
@@ -58,6 +60,8 @@
 	ShutdownGraceMs int64  `json:"shutdown-grace-ms"`
 	RoutingPolicy   string `json:"routing-policy"`
 	LogLevel        string `json:"log-level"`
+	// Resources is what the process may use.
+	Resources Resources `json:"resources"`
 }
 
 // Shard is one shard of the index of a stand-in.
@@ -106,6 +110,7 @@
 		ElectionTimeoutMs: defaultElectionTimeoutMs,
 		OutcomesLimitMB:   defaultOutcomesLimitMB,
 		LogLevel:          defaultLogLevel,
+		Resources:         ControlResources(),
 	}
 	return readSettings(path, settings, checkControl)
 }
@@ -116,6 +121,7 @@
 		ShutdownGraceMs: defaultShutdownGraceMs,
 		RoutingPolicy:   defaultRoutingPolicy,
 		LogLevel:        defaultLogLevel,
+		Resources:       EntryResources(),
 	}
 	return readSettings(path, settings, checkEntry)
 }
@@ -152,6 +158,7 @@
 	v.requireNonEmpty("data-folder", s.DataFolder)
 	v.requireLogLevel(s.LogLevel)
 	v.require("election-timeout-ms", s.ElectionTimeoutMs >= 50, "at least 50")
+	checkResources(v, &s.Resources)
 	v.require("outcomes-limit-mb", s.OutcomesLimitMB >= 1, "at least 1")
 	v.require("members", len(s.Members)%2 == 1 || s.Formation != nil, "an odd number of control instances")
 	if s.Formation != nil {
@@ -178,6 +185,7 @@
 	v.require("control", len(s.Control) > 0, "at least one address of a control instance")
 	v.requireAddresses("peers", s.Peers)
 	v.require("routing-policy", slices.Contains(routingPolicies, s.RoutingPolicy), `"round-robin", "two-choices" or "owner"`)
+	checkResources(v, &s.Resources)
 	v.require("shutdown-grace-ms", s.ShutdownGraceMs >= 0, "0 or more")
 	v.requireLogLevel(s.LogLevel)
 }
--- a/internal/transport/controller/controller.go
+++ b/internal/transport/controller/controller.go
@@ -93,6 +93,7 @@
 	leaderChange *changeSignal
 	heartbeats   *heartbeats
 	lifeSigns    *lifeSigns
+	guards       *listener.Guards
 	server       *listener.Server
 	client       *http.Client
 	stop         chan struct{}
@@ -156,6 +157,7 @@
 			list: services,
 		},
 	}
+	c.guards = listener.NewControlGuards(settings.Resources, c.log, scope)
 	c.tables = newTables(c)
 	c.leaderChange = newChangeSignal()
 	c.admission = newAdmission(c.meter)
@@ -166,7 +168,7 @@
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
-	c.server, err = listener.New(settings.Listen, c.handler())
+	c.server, err = c.guards.NewPeersGate(true).NewServer(settings.Listen, c.handler())
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
@@ -223,6 +225,9 @@
 	c.joiner.setSeeds(settings.ControlAddresses())
 }
 
+// Guards returns the guards that bound what clients of the process make it hold.
+func (c *Controller) Guards() *listener.Guards { return c.guards }
+
 // Address returns the address that the instance listens on.
 func (c *Controller) Address() string { return c.server.Address() }
 
--- a/internal/transport/forwarder/caller_server.go
+++ b/internal/transport/forwarder/caller_server.go
@@ -13,8 +13,6 @@
 	// headerTimeout and idleTimeout exceed the limits that callers are given, so that no caller within its limits is cut off.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
-	// maxHeaderBytes limits the size of a request header, also before any configuration is known. The platform's adapter enforces the limit of the configuration.
-	maxHeaderBytes = 64 << 10
 )
 
 // callerServer is the HTTP server for callers.
@@ -24,8 +22,8 @@
 	done   chan struct{}
 }
 
-func newCallerServer(address string, handler http.Handler) (*callerServer, error) {
-	socket, err := listener.Listen(address)
+func newCallerServer(address string, handler http.Handler, gate *listener.Gate) (*callerServer, error) {
+	socket, err := gate.Listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -34,13 +32,14 @@
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    listener.MaxHeadBytes,
 			// Each request is answered by the handler.
 			DisableGeneralOptionsHandler: true,
 		},
 		socket: socket,
 		done:   make(chan struct{}),
 	}
+	gate.Protect(s.http)
 	go s.run()
 	return s, nil
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 	// entryInstances is the number of entry instances that share the retry budgets and the rate limits of replicas.
 	entryInstances int
 
+	guards       *listener.Guards
 	directory    *directory
 	drains       *drains
 	coldShare    *coldShare
@@ -109,6 +110,7 @@
 		Overrun:         &scatterer.Overrun{},
 		ZoneRegions:     settings.ZoneRegions,
 	}
+	f.guards = listener.NewEntryGuards(settings.Resources, f.log, f.meter.reporter.Scope)
 	f.balancer.SetInstances(f.entryInstances)
 	f.drains = newDrains(f)
 	f.coldShare = newColdShare(f)
@@ -138,19 +140,28 @@
 
 func (f *Forwarder) listen() error {
 	var err error
-	if f.callers, err = newCallerServer(f.settings.ListenCallers, f.protocol.CallerHandler(f)); err != nil {
+	if f.callers, err = newCallerServer(f.settings.ListenCallers, f.protocol.CallerHandler(f), f.guards.NewCallersGate(false, f.maxHeaderBytes)); err != nil {
 		return err
 	}
 	if err = f.peers.listen(); err != nil {
 		return err
 	}
-	if f.readiness, err = listener.New(f.settings.ListenReadiness, f.protocol.ReadinessHandler(f)); err != nil {
+	if f.readiness, err = f.guards.NewReadinessGate().NewServer(f.settings.ListenReadiness, f.protocol.ReadinessHandler(f)); err != nil {
 		return err
 	}
-	f.metrics, err = listener.New(f.settings.ListenMetrics, f.meter.handler)
+	f.metrics, err = f.guards.NewMetricsGate().NewServer(f.settings.ListenMetrics, f.meter.handler)
 	return err
 }
 
+// maxHeaderBytes returns the largest request line and header of the configuration, in bytes, or 0 if there is no limit.
+func (f *Forwarder) maxHeaderBytes() int {
+	table := f.routingTable.Load()
+	if table == nil {
+		return 0
+	}
+	return max(0, table.Limits.MaxHeaderBytes)
+}
+
 // IsReady reports whether the instance accepts callers' requests.
 func (f *Forwarder) IsReady() bool {
 	return !f.stopping.Load() && f.routingTable.Load() != nil && f.directory.isInitialized() && !f.isWithdrawn()
--- a/internal/transport/forwarder/gauges.go
+++ b/internal/transport/forwarder/gauges.go
@@ -46,6 +46,7 @@
 	m := f.meter
 	m.openConnections.Update(float64(f.exchanger.OpenConnections()))
 	m.requestsInFlight.Update(float64(f.inFlight.Load()))
+	m.clientRequestBytes.Update(float64(f.guards.Held()))
 	if f.droppedLines != nil {
 		m.logLinesDropped.Update(float64(f.droppedLines()))
 	}
--- a/internal/transport/forwarder/meter.go
+++ b/internal/transport/forwarder/meter.go
@@ -52,6 +52,7 @@
 	requestsWithoutRoute tally.Counter
 	requestsUnauthorized tally.Counter
 	requestsInFlight     tally.Gauge
+	clientRequestBytes   tally.Gauge
 	openConnections      tally.Gauge
 	minRetryBudget       tally.Gauge
 	minAdmittedShare     tally.Gauge
@@ -96,6 +97,7 @@
 		requestsWithoutRoute: s.Counter("requests_without_route"),
 		requestsUnauthorized: s.Counter("requests_unauthorized"),
 		requestsInFlight:     s.Gauge("requests_in_flight"),
+		clientRequestBytes:   s.Gauge("client_request_bytes"),
 		openConnections:      s.Gauge("connections_open"),
 		minRetryBudget:       s.Gauge("repeat_budget_left_least"),
 		minAdmittedShare:     s.Gauge("shed_share_least"),
--- a/internal/transport/forwarder/peers.go
+++ b/internal/transport/forwarder/peers.go
@@ -63,7 +63,7 @@
 		forwarder: p.forwarder,
 	}, listener.CompressLargeReplies()))
 	var err error
-	p.server, err = listener.New(address, mux)
+	p.server, err = p.forwarder.guards.NewPeersGate(false).NewServer(address, mux)
 	return err
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -45,6 +45,7 @@
 	share           *limiter.Share
 	control         *ControlClient
 	meter           *meter
+	guards          *listener.Guards
 	events          chan event
 	results         chan sender.Result
 	pendingQueries  map[uint64]*pendingQuery
@@ -106,6 +107,7 @@
 		loopDone:        make(chan struct{}),
 	}
 	g.lastRunID.Store(rand.Uint64() >> 1)
+	g.guards = listener.NewEntryGuards(settings.Resources, g.log, g.meter.scope)
 	g.sender = sender.New(results, g.maxOpenConnections)
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -150,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	g.callers, err = listener.New(g.settings.ListenCallers, g.guardCallers(handler))
+	g.callers, err = g.guards.NewCallersGate(true, func() int { return 0 }).NewServer(g.settings.ListenCallers, g.guardCallers(handler))
 	if err != nil {
 		return err
 	}
@@ -161,7 +163,7 @@
 	mux.Handle(wireconnect.NewPeerServiceHandler(&peerService{
 		gateway: g,
 	}, listener.CompressLargeReplies()))
-	g.peers, err = listener.New(g.settings.ListenPeers, mux)
+	g.peers, err = g.guards.NewPeersGate(true).NewServer(g.settings.ListenPeers, mux)
 	if err != nil {
 		g.callers.Close()
 	}
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -157,7 +157,7 @@
 	if settings.Platform == nil {
 		return nil, nil
 	}
-	api, err := listener.New(settings.Platform.Listen, l.platform.Control(c, log))
+	api, err := c.Guards().NewCallersGate(false, func() int { return 0 }).NewServer(settings.Platform.Listen, l.platform.Control(c, log))
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler())
-	p.metrics, err = listener.New(settings.Platform.ListenMetrics, mux)
+	p.metrics, err = c.Guards().NewMetricsGate().NewServer(settings.Platform.ListenMetrics, mux)
 	if err != nil {
 		api.Close()
 		return nil, err
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -39,8 +39,10 @@
 }
 
 // Listen opens a listening socket on the address.
-func Listen(address string) (net.Listener, error) {
-	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+func Listen(address string) (net.Listener, error) { return listen(&net.ListenConfig{}, address) }
+
+func listen(config *net.ListenConfig, address string) (net.Listener, error) {
+	socket, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -55,16 +57,38 @@
 
 // NewOnSocket starts serving the handler on a listening socket.
 func NewOnSocket(socket net.Listener, handler http.Handler, hooks Hooks) *Server {
+	return start(socket, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		Protocols:         protocols(true),
+		ConnState:         hooks.ConnState,
+		ConnContext:       hooks.ConnContext,
+	})
+}
+
+// NewServer listens on the address and starts serving the handler to clients who pass the gate.
+func (t *Gate) NewServer(address string, handler http.Handler) (*Server, error) {
+	socket, err := t.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	if t.options.AllowsHTTP2 {
+		server.Protocols = protocols(true)
+	}
+	t.Protect(server)
+	return start(socket, server), nil
+}
+
+// start starts serving on a listening socket.
+func start(socket net.Listener, server *http.Server) *Server {
 	s := &Server{
-		httpServer: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			Protocols:         protocols(true),
-			ConnState:         hooks.ConnState,
-			ConnContext:       hooks.ConnContext,
-		},
-		address: socket.Addr().String(),
-		stopped: make(chan struct{}),
+		httpServer: server,
+		address:    socket.Addr().String(),
+		stopped:    make(chan struct{}),
 	}
 	go s.run(socket)
 	return s
