Bound the memory that the heads of requests take

What callers saw: an instance whose clients send heads of legal size made of very many short lines, heads above the limit, or heads without their last line, runs out of memory, and the requests of all callers end with it.

Cause: a line of 6 bytes takes some 250 bytes once parsed, and as much again where it is copied and encoded; nothing counts heads, and all but one listener read up to 1 MB of each.

Change: the connection measures a head as it arrives, by bytes and lines, and holds a lease for what it will take before the HTTP server has it; the lease is kept until the last attempt of the request has ended. A head of 2 KB and 32 lines needs none. A head above the limit gets 431 as soon as it exceeds it, and its size is what was sent. Requests over HTTP/2 are counted one by one; their connections have smaller buffers. Garbage is collected in time at control instances too.

--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -38,6 +38,7 @@
 	}
 	r.forwarder.peers.relayer.RecordStart(now, peer)
 	r.relays = append(r.relays, o)
+	r.lease.Hold()
 	go o.run()
 }
 
@@ -67,6 +68,7 @@
 }
 
 func (o *outgoingRelay) run() {
+	defer o.owner.lease.Drop()
 	defer o.cancel()
 	f := o.owner.forwarder
 	stream, err := f.peers.relayClient(o.peer.Address).Relay(o.ctx, connect.NewRequest(o.newRequest()))
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -12,6 +12,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 	"pimentogate.example/pimentogate/pkg/wire/wireconnect"
 )
@@ -30,9 +31,11 @@
 	if err := s.forwarder.unavailability(); err != nil {
 		return err
 	}
-	defer s.forwarder.peers.startCall()()
 	msg := request.Msg
+	lease := listener.LeaseOf(ctx)
+	defer s.forwarder.peers.startCall()()
 	relay := &incomingRelay{
+		lease:     lease,
 		forwarder: s.forwarder,
 		call:      callFromRequest(msg),
 		topK:      int(msg.GetTopK()),
@@ -52,6 +55,7 @@
 // incomingRelay holds the attempts of one call from a peer.
 type incomingRelay struct {
 	forwarder *Forwarder
+	lease     *listener.Lease
 	call      *exchanger.Call
 	topK      int
 	// merges is set if the successful replies of a message are merged.
@@ -101,6 +105,7 @@
 			target:   target,
 			exchange: exchange,
 		}
+		r.lease.Hold()
 		go attempt.run()
 	}
 }
@@ -185,6 +190,7 @@
 
 func (a *incomingAttempt) run() {
 	r := a.relay
+	defer r.lease.Drop()
 	r.forwarder.recordSent(a.replica)
 	startedAt := r.observer.start(a.replica)
 	outcome := r.forwarder.exchanger.Do(a.exchange, r.call, a.target, r.deadline)
--- a/internal/transport/forwarder/reroute.go
+++ b/internal/transport/forwarder/reroute.go
@@ -7,6 +7,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 )
 
 // reroute is the match of a request in a newer configuration; route is nil if no route matches.
@@ -41,4 +42,6 @@
 	version        uint64
 	attemptEntries []attemptEntry
 	relays         []*outgoingRelay
+	// lease is the memory that the request holds, until its last attempt has ended.
+	lease *listener.Lease
 }
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -9,6 +9,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/matcher"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 )
 
 const (
@@ -47,11 +48,11 @@
 	defer f.inFlight.Add(-1)
 	if !f.ending.canFinish(time.Now(), &request, f.expectedWork(request.Route.Name)) {
 		// The caller reaches another instance, since this one closes its connection.
-		return f.refuse(call, request, version, scatterer.ReasonStopping, scatterer.RetryAfterStopping)
+		return f.refuse(ctx, call, request, version, scatterer.ReasonStopping, scatterer.RetryAfterStopping)
 	}
 	var refusal *AllotmentError
 	if errors.As(f.allotments.charge(ctx, &request), &refusal) {
-		return f.refuse(call, request, version, refusal.Reason, refusal.RetryAfter)
+		return f.refuse(ctx, call, request, version, refusal.Reason, refusal.RetryAfter)
 	}
 	answer := f.serveCharged(ctx, call, request, version)
 	if answer.Decision.Kind == scatterer.Refused {
@@ -80,7 +81,7 @@
 			return *diverted
 		}
 		// The caller may reach another instance at its next try.
-		return f.refuse(call, request, version, scatterer.ReasonIsolated, scatterer.RetryAfterFailure)
+		return f.refuse(ctx, call, request, version, scatterer.ReasonIsolated, scatterer.RetryAfterFailure)
 	}
 	answer := f.serveHere(ctx, call, request, version)
 	if answer.canDivert() {
@@ -94,8 +95,8 @@
 }
 
 // refuse refuses a request of which nothing was sent.
-func (f *Forwarder) refuse(call *exchanger.Call, request scatterer.Request, version uint64, reason scatterer.Reason, retryAfter time.Duration) Answer {
-	r := f.newActiveRequest(call, request, version)
+func (f *Forwarder) refuse(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64, reason scatterer.Reason, retryAfter time.Duration) Answer {
+	r := f.newActiveRequest(ctx, call, request, version)
 	f.mutex.Lock()
 	r.job = scatterer.New(request, f.policies)
 	r.job.Refuse(reason)
@@ -126,7 +127,7 @@
 // serveHere answers a request by attempts of this instance. If that fails, it sends the request again along the route of a newer configuration if scatterer.ShouldReroute allows it.
 func (f *Forwarder) serveHere(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) Answer {
 	for {
-		active := f.newActiveRequest(call, request, version)
+		active := f.newActiveRequest(ctx, call, request, version)
 		d := active.serve(ctx)
 		next := f.findReroute(call, version)
 		if next == nil || !scatterer.ShouldReroute(&request, &d, next.route, time.Now()) {
@@ -142,7 +143,7 @@
 	}
 }
 
-func (f *Forwarder) newActiveRequest(call *exchanger.Call, request scatterer.Request, version uint64) *activeRequest {
+func (f *Forwarder) newActiveRequest(ctx context.Context, call *exchanger.Call, request scatterer.Request, version uint64) *activeRequest {
 	return &activeRequest{
 		forwarder: f,
 		call:      call,
@@ -150,6 +151,7 @@
 		decided:   make(chan struct{}),
 		request:   request,
 		version:   version,
+		lease:     listener.LeaseOf(ctx),
 	}
 }
 
@@ -285,6 +287,7 @@
 			target:   targetOf(a.Replica),
 			exchange: exchange,
 		}
+		r.lease.Hold()
 		go direct.run()
 	}
 	if r.finished {
@@ -421,6 +424,7 @@
 
 func (a *directAttempt) run() {
 	r := a.owner
+	defer r.lease.Drop()
 	f := r.forwarder
 	outcome := f.exchanger.Do(a.exchange, r.call, a.target, a.attempt.Deadline)
 	f.mutex.Lock()
--- a/internal/transport/launcher/garbage.go
+++ b/internal/transport/launcher/garbage.go
@@ -12,8 +12,10 @@
 const (
 	// entryGCPercent is how much the heap of an entry instance may grow before garbage is collected even while requests are in flight, in percent.
 	entryGCPercent = 400
-	// entryMemoryLimit is the size of an entry instance, in bytes, from which on garbage is collected as often as it takes to stay within it. It leaves a third of the smallest machines for what the runtime does not count.
+	// entryMemoryLimit is the size of an entry instance, in bytes, from which on garbage is collected as often as it takes to stay within it. A process with less memory has a smaller one.
 	entryMemoryLimit = 96 << 20
+	// collectedMemoryPercent is the share of a process's memory from which on garbage is collected like that, in percent. It leaves the rest for what the runtime does not count.
+	collectedMemoryPercent = 60
 	// idleCheckInterval is the interval at which an idle process is noticed.
 	idleCheckInterval = 50 * time.Millisecond
 	// allocatedMetric is the number of bytes that the process has allocated in all.
@@ -29,10 +31,10 @@
 	done     chan struct{}
 }
 
-// newGarbageCollector starts the garbage collector of a process that answers requests, of which inFlight returns the current number.
-func newGarbageCollector(inFlight func() int) *garbageCollector {
+// newGarbageCollector starts the garbage collector of a process with that memory, in megabytes, that answers requests, of which inFlight returns the current number.
+func newGarbageCollector(inFlight func() int, memoryMB int64) *garbageCollector {
 	debug.SetGCPercent(entryGCPercent)
-	debug.SetMemoryLimit(entryMemoryLimit)
+	debug.SetMemoryLimit(min(entryMemoryLimit, collectedMemory(memoryMB)))
 	g := &garbageCollector{
 		inFlight: inFlight,
 		policy:   collector.New(time.Now()),
@@ -46,6 +48,12 @@
 	return g
 }
 
+// LimitMemory has garbage collected as often as it takes for a process to stay within its memory, in megabytes, where it can.
+func LimitMemory(memoryMB int64) { debug.SetMemoryLimit(collectedMemory(memoryMB)) }
+
+// collectedMemory returns the size of a process, in bytes, from which on garbage is collected as often as it takes to stay within it.
+func collectedMemory(memoryMB int64) int64 { return memoryMB << 20 * collectedMemoryPercent / 100 }
+
 func (g *garbageCollector) run() {
 	defer close(g.done)
 	ticker := time.NewTicker(idleCheckInterval)
--- a/internal/transport/launcher/launcher.go
+++ b/internal/transport/launcher/launcher.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	g := newGarbageCollector(f.InFlight)
+	g := newGarbageCollector(f.InFlight, settings.Resources.MemoryMB)
 	w.start(f.Reload, log)
 	// Settings are reloaded until the instance has stopped, since callers are served until then.
 	defer w.close()
@@ -126,6 +126,7 @@
 			Reason: fmt.Sprintf("settings file %q: platform: this program has no platform support; use pimentogate-machine", path),
 		}
 	}
+	LimitMemory(settings.Resources.MemoryMB)
 	log, boundedLog := logger.NewBounded(out, settings.LogLevel, logger.DefaultBounds)
 	defer boundedLog.Close()
 	metrics := reporter.New()
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -22,13 +22,16 @@
 	lingerTimeout = 200 * time.Millisecond
 	// cutOffTimeout is how long a client that is cut off has to receive the response.
 	cutOffTimeout = time.Second
+	// streamCost is the memory that a request takes which shares its connection with others, in bytes.
+	streamCost = 16 << 10
 	// http2Preface is the start of a connection with HTTP/2.
 	http2Preface = "PRI"
 )
 
 // Responses to requests whose head is not read to its end.
 const (
-	overloadResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfterOverload + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	overloadResponse     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfterOverload + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 // errRefused ends the reading of a request that has been refused. The HTTP server takes it for a client that has disconnected.
@@ -50,6 +53,8 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	head  headMeter
+	// headBytes are held for the head that arrives.
+	headBytes int64
 	// unread bounds the bytes that the HTTP server has read beyond the current request, and lastLines the lines among them.
 	unread    int64
 	lastLines int
@@ -98,6 +103,13 @@
 		g.setStage(c, reclaimer.Receiving)
 	}
 	c.unread += int64(c.head.add(content))
+	if c.head.size > c.gate.options.MaxHeadBytes() {
+		g.count(c, eventHeadTooLarge)
+		return headTooLargeResponse
+	}
+	if missing := c.head.cost() - c.headBytes; missing > 0 && !g.grow(c, missing, &c.headBytes) {
+		return overloadResponse
+	}
 	return ""
 }
 
@@ -178,11 +190,15 @@
 	g := c.gate.guard
 	if r.ProtoMajor > 1 {
 		c.isHTTP2 = true
+		if !g.grow(c, streamCost+requestHeadCost(r), &lease.bytes) {
+			return nil
+		}
 		c.streams++
 		g.setStage(c, c.streamStage())
 		return lease
 	}
 	c.isInRequest = true
+	lease.bytes, c.headBytes = c.headBytes, 0
 	c.lease = lease
 	g.setStage(c, reclaimer.Serving)
 	return lease
@@ -221,8 +237,15 @@
 	}
 	c.isInRequest = false
 	c.head = headMeter{}
+	c.headBytes = 0
 	c.unread = min(max(0, c.unread), bufferedBytes)
-	c.gate.guard.setStage(c, reclaimer.Idle)
+	g := c.gate.guard
+	g.setStage(c, reclaimer.Idle)
+	early := headCost(int(c.unread), min(int(c.unread), c.lastLines))
+	if early > 0 && !g.grow(c, early, &c.headBytes) {
+		// The response to the request before may still be on its way.
+		c.cutOff(reclaimer.Receiving)
+	}
 }
 
 // currentLease returns the lease of the request that is handled over HTTP/1.
@@ -231,3 +254,15 @@
 	defer c.mutex.Unlock()
 	return c.lease
 }
+
+// requestHeadCost returns the memory that the head of a parsed request takes beyond the allowance, in bytes.
+func requestHeadCost(r *http.Request) int64 {
+	size, lines := len(r.Method)+len(r.RequestURI)+len(r.Host), 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+			lines++
+		}
+	}
+	return headCost(size, lines)
+}
--- a/internal/transport/listener/guard.go
+++ b/internal/transport/listener/guard.go
@@ -57,6 +57,7 @@
 	eventConnectionRefused event = "connection-refused"
 	eventCutOff            event = "cut-off"
 	eventRequestRefused    event = "request-refused"
+	eventHeadTooLarge      event = "head-too-large"
 )
 
 type eventKey struct {
--- a/internal/transport/listener/guard_test.go
+++ b/internal/transport/listener/guard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -71,6 +73,16 @@
 	}
 }
 
+// awaitHeld waits until the requests hold that many bytes.
+func (s *guardedServer) awaitHeld(want int64) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testTimeout); s.guard.Held() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%d bytes held, want %d", s.guard.Held(), want)
+		}
+	}
+}
+
 // testClient is a client of a guarded server.
 type testClient struct {
 	net.Conn
@@ -98,6 +110,56 @@
 	return strings.TrimSpace(text)
 }
 
+func longHead(path string, lines int) string {
+	head := "POST " + path + " HTTP/1.1\r\nHost: a\r\n"
+	for i := range lines {
+		head += fmt.Sprintf("f%d:\r\n", i)
+	}
+	return head
+}
+
+// TestGuardCountsRequests guards against requests that hold more than the guard knows of, in each form in which they arrive, and against ones within their allowance that are refused.
+func TestGuardCountsRequests(t *testing.T) {
+	const limit = 150 << 10
+	get := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	body := func(size int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, bytes.Repeat([]byte("b"), size))
+	}
+	cases := []struct {
+		name, request string
+		want          []string
+	}{
+		{"small", get, []string{"200 0"}},
+		{"small ones at once", get + get + get, []string{"200 0", "200 0", "200 0"}},
+		{"a head that fits", longHead("/", 100) + "\r\n", []string{"200 0"}},
+		{"a head that does not fit", longHead("/", 400) + "\r\n", []string{"503"}},
+		{"a head that does not fit and has no end", longHead("/", 400), []string{"503"}},
+		{"a head that does not fit behind another request", get + longHead("/", 400) + "\r\n", []string{"200 0", "503"}},
+		{"a head above the limit", "GET / HTTP/1.1\r\nHost: a\r\nLong: " + strings.Repeat("v", 16<<10) + "\r\n\r\n", []string{"431"}},
+		{"a body that fits", body(40 << 10), []string{"200 40960"}},
+		{"a body behind another one", body(40<<10) + body(40<<10), []string{"200 40960", "200 40960"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newGuardedServer(t, limit, GateOptions{
+				MaxConnections: 10,
+			})
+			client := s.dial()
+			go client.send(c.request)
+			for _, want := range c.want {
+				if got := client.receive(); got != want && (want != "503" || got != "closed") {
+					t.Errorf("got %q, want %q", got, want)
+				}
+			}
+			_ = client.Close()
+			s.awaitHeld(0)
+			if got := s.dial().send(get).receive(); got != "200 0" {
+				t.Errorf("got %q after it", got)
+			}
+		})
+	}
+}
+
 // TestConnectionsGiveWay guards against connections nobody uses that shut out newcomers, and against more connections than the limit.
 func TestConnectionsGiveWay(t *testing.T) {
 	s := newGuardedServer(t, 100<<10, GateOptions{
@@ -129,3 +191,70 @@
 		}
 	}
 }
+
+// TestLeaseOutlivesRequest guards against memory that is given to others while attempts still use it.
+func TestLeaseOutlivesRequest(t *testing.T) {
+	s := newGuardedServer(t, 100<<10, GateOptions{
+		MaxConnections: 3,
+	})
+	client := s.dial().send(longHead("/wait", 100) + "\r\n")
+	lease := <-s.entered
+	held := s.guard.Held()
+	if held == 0 || !lease.TryGrow(1000) || lease.TryGrow(100<<10) {
+		t.Errorf("%d bytes held", held)
+	}
+	lease.Hold()
+	close(s.release)
+	if got := client.receive(); got != "200 0" {
+		t.Fatalf("got %q", got)
+	}
+	if got := client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n").receive(); got != "200 0" {
+		t.Fatalf("got %q", got)
+	}
+	s.awaitHeld(held + 1000)
+	lease.Drop()
+	s.awaitHeld(0)
+	var none *Lease
+	none.Hold()
+	none.Drop()
+	if !none.TryGrow(1) {
+		t.Error("a request without a gate has no limit")
+	}
+}
+
+// TestStreamsAreCounted guards against requests that share a connection and hold more than the guard knows of.
+func TestStreamsAreCounted(t *testing.T) {
+	s := newGuardedServer(t, 5*streamCost, GateOptions{
+		MaxConnections: 1,
+		AllowsHTTP2:    true,
+	})
+	client := NewSingleConnectionClient((&net.Dialer{}).DialContext)
+	statuses := make(chan int, 20)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for range 20 {
+		go func() {
+			request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/wait", nil)
+			response, err := client.Do(request)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- response.StatusCode
+		}()
+	}
+	counts := map[int]int{}
+	for range 15 {
+		counts[<-statuses]++
+	}
+	close(s.release)
+	for range 5 {
+		counts[<-statuses]++
+	}
+	if counts[http.StatusServiceUnavailable] != 15 || counts[http.StatusOK] != 5 {
+		t.Errorf("statuses %v, want 15 refused of 20", counts)
+	}
+	client.CloseIdleConnections()
+	s.awaitHeld(0)
+}
--- a/internal/transport/listener/head.go
+++ b/internal/transport/listener/head.go
@@ -4,6 +4,20 @@
 	"bytes"
 )
 
+const (
+	// headAllowance and headLineAllowance are the size and number of lines of a head that each connection may have at any time.
+	headAllowance     = 2 << 10
+	headLineAllowance = 32
+	// headByteCost and headLineCost are how much memory a byte and a line of a head take until the request is answered, in bytes: parsed, copied, and encoded for replicas and peers.
+	headByteCost = 6
+	headLineCost = 640
+)
+
+// headCost returns the memory that a head takes beyond the allowance, in bytes.
+func headCost(size, lines int) int64 {
+	return int64(max(0, size-headAllowance))*headByteCost + int64(max(0, lines-headLineAllowance))*headLineCost
+}
+
 // headMeter measures the head of a request as it arrives.
 type headMeter struct {
 	size, lines int
@@ -49,3 +63,6 @@
 	m.lines++
 	m.lineLength = 0
 }
+
+// cost returns the memory that the head takes beyond the allowance so far, in bytes.
+func (m *headMeter) cost() int64 { return headCost(m.size, m.lines) }
--- a/internal/transport/listener/head_test.go
+++ b/internal/transport/listener/head_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"strings"
 	"testing"
 )
 
@@ -32,3 +33,18 @@
 		}
 	}
 }
+
+// TestHeadCost guards against ordinary requests that need memory beyond their allowance, and against a head of the largest size that does not fit into the memory of the smallest machine.
+func TestHeadCost(t *testing.T) {
+	m := headMeter{}
+	m.add([]byte("GET /search/1 HTTP/1.1\r\nHost: a.example\r\n" + strings.Repeat("Field-Name: some value\r\n", 20) + "\r\n"))
+	if m.cost() != 0 {
+		t.Errorf("an ordinary head costs %d bytes", m.cost())
+	}
+	const largest, smallestMemory = 16 << 10, 24 << 20
+	m = headMeter{}
+	m.add([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", largest/len("a:\r\n"))))
+	if cost := m.cost(); cost < largest || cost > smallestMemory/2 {
+		t.Errorf("a head of the largest size costs %d bytes", cost)
+	}
+}
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -18,6 +18,9 @@
 	// sendPingTimeout and pingTimeout detect a silent connection within two seconds, so that a new one, which may work, replaces it.
 	sendPingTimeout = time.Second
 	pingTimeout     = 700 * time.Millisecond
+	// maxStreams limits the requests of one connection with HTTP/2, and maxStreamBuffer the bytes of their bodies that wait to be read.
+	maxStreams      = 100
+	maxStreamBuffer = 64 << 10
 	// compressMinBytes is the smallest reply that is compressed, in bytes.
 	compressMinBytes = 64 << 10
 )
@@ -75,9 +78,15 @@
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    t.options.MaxHeadBytes(),
 	}
 	if t.options.AllowsHTTP2 {
 		server.Protocols = protocols(true)
+		server.HTTP2 = &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: maxStreamBuffer,
+			MaxReceiveBufferPerStream:     maxStreamBuffer,
+		}
 	}
 	t.Protect(server)
 	return start(socket, server), nil
--- a/internal/transport/operator/instances.go
+++ b/internal/transport/operator/instances.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	launcher.LimitMemory(settings.Resources.MemoryMB)
 	g, err := gateway.New(settings, logger.New(o.stderr, settings.LogLevel))
 	if err != nil {
 		return err
