Bound the memory that the bodies of requests take

What callers saw: many large bodies at once, whole or piece by piece, end an instance; those that stop just short of their end hold what they have sent for as long as they like.

Cause: each body is read whole before its request goes on, nothing counts them together, and messages between instances have no limit of size. A document takes some times its size while it is decoded and published.

Tests: TestHostileClients, TestHostileClientsOfOwnInterface, TestStalledRequestsGiveWay, TestStalledStreamsGiveWay.

--- a/integration/hostile_test.go
+++ b/integration/hostile_test.go
@@ -28,7 +28,13 @@
 	for i := range 15_000 {
 		fmt.Fprintf(lines, "x%d:\r\n", i)
 	}
+	body := bytes.Repeat([]byte("b"), 4<<20)
+	head := func(path string, length int) []byte {
+		return fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n", path, length)
+	}
 	query := "/v1/services/" + service + "/query"
+	claim := "/pimentogate.v1.ControlService/Claim"
+	announce := "/pimentogate.v1.AnnouncementService/Announce"
 	cases := []struct {
 		name    string
 		target  func(f *fleet) (p *process, address string)
@@ -36,8 +42,11 @@
 		act     func(ctx context.Context, address string)
 	}{
 		{"heads of callers", callersOf, 400, sendTo(append([]byte("POST / HTTP/1.1\r\nHost: a\r\n"), lines.String()...))},
+		{"bodies of callers", callersOf, 400, sendTo(append(head(query, 60_000), body[:59_999]...))},
 		{"streams of callers", callersOf, 10, openStreams(query, 100)},
 		{"heads of peers", peersOf, 400, sendTo(append([]byte("POST / HTTP/1.1\r\nHost: a\r\n"), lines.String()...))},
+		{"bodies of peers", peersOf, 100, sendTo(append(head(announce, len(body)), body[1:]...))},
+		{"bodies at control", controlOf, 100, sendTo(append(head(claim, len(body)), body[1:]...))},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/protocol/parser/request.go
+++ b/internal/protocol/parser/request.go
@@ -31,8 +31,13 @@
 	Reason string
 	// TooLarge is set if the body exceeds MaxBodyBytes.
 	TooLarge bool
+	// Cause is the error that the body could not be read for, if any.
+	Cause error
 }
 
+// Unwrap returns the cause.
+func (e *RequestError) Unwrap() error { return e.Cause }
+
 // Error returns the field and what is wrong with it.
 func (e *RequestError) Error() string {
 	return fmt.Sprintf("%s: %s", e.Field, e.Reason)
@@ -156,7 +161,11 @@
 func decode(body io.Reader, target any) error {
 	source, err := io.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
 	if err != nil {
-		return newRequestError("body", "could not be read whole")
+		return &RequestError{
+			Field:  "body",
+			Reason: "could not be read whole",
+			Cause:  err,
+		}
 	}
 	if len(source) > MaxBodyBytes {
 		return &RequestError{
--- a/internal/transport/gateway/app.go
+++ b/internal/transport/gateway/app.go
@@ -13,6 +13,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/gatherer"
 	"pimentogate.example/pimentogate/internal/protocol/parser"
 	"pimentogate.example/pimentogate/internal/state/cataloger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -129,6 +130,12 @@
 	}
 }
 
+const (
+	// reasonMemory is the reason of a request that was not read because the requests in progress take all memory that they may.
+	reasonMemory       = "memory-in-use"
+	overloadRetryAfter = time.Second
+)
+
 func (g *Gateway) rejectInvalidRequest(ctx iris.Context, requestID string, err error) {
 	answer := parser.ErrorAnswer{
 		RequestID: requestID,
@@ -145,6 +152,13 @@
 			status = iris.StatusRequestEntityTooLarge
 		}
 	}
+	if listener.IsOverload(err) {
+		answer.Reason = reasonMemory
+		status = iris.StatusServiceUnavailable
+		setRetryAfter(ctx, overloadRetryAfter)
+		// The rest of the body is not read.
+		ctx.Header("Connection", "close")
+	}
 	g.outcomes.recordInvalidRequest(requestID, ctx.Params().Get("service"))
 	ctx.StatusCode(status)
 	_ = ctx.JSON(answer)
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -63,8 +63,8 @@
 	isHTTP2     bool
 	// lease is that of the request that is handled over HTTP/1.
 	lease *Lease
-	// streams is the number of requests that are handled over HTTP/2.
-	streams int
+	// streams is the number of requests that are handled over HTTP/2, and arriving that of those whose body is not whole.
+	streams, arriving int
 }
 
 // Read reads from the connection, and counts what the head of a request takes before the server has it. A client that exceeds a limit gets a response, and the read fails.
@@ -194,19 +194,29 @@
 			return nil
 		}
 		c.streams++
+		if hasBody(r) {
+			c.arriving++
+		}
 		g.setStage(c, c.streamStage())
 		return lease
 	}
 	c.isInRequest = true
 	lease.bytes, c.headBytes = c.headBytes, 0
 	c.lease = lease
-	g.setStage(c, reclaimer.Serving)
+	if !hasBody(r) {
+		g.setStage(c, reclaimer.Serving)
+	}
 	return lease
 }
 
+// hasBody reports whether a body follows the head of the request.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
 // streamStage returns the stage of a connection with HTTP/2; the mutex must be held.
 func (c *conn) streamStage() reclaimer.Stage {
 	switch {
+	case c.arriving > 0:
+		return reclaimer.Receiving
 	case c.streams > 0:
 		return reclaimer.Serving
 	default:
@@ -214,6 +224,20 @@
 	}
 }
 
+// finishBody records that the body of a request has arrived.
+func (c *conn) finishBody() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	g := c.gate.guard
+	if !c.isHTTP2 {
+		g.setStage(c, reclaimer.Serving)
+		return
+	}
+	c.arriving--
+	g.setStage(c, c.streamStage())
+	g.progress(c)
+}
+
 // endRequest ends the lease of a request that has been handled.
 func (c *conn) endRequest(r *http.Request, lease *Lease) {
 	lease.end()
@@ -221,11 +245,22 @@
 	defer c.mutex.Unlock()
 	if r.ProtoMajor > 1 {
 		c.streams--
+		if body, ok := r.Body.(*leasedBody); ok && !body.isWhole {
+			c.arriving--
+		}
 		c.gate.guard.setStage(c, c.streamStage())
 		return
 	}
 	c.lease = nil
-	c.unread -= max(0, r.ContentLength)
+	c.unread -= bodySize(r)
+}
+
+// bodySize returns how many bytes the body of a request has at least taken.
+func bodySize(r *http.Request) int64 {
+	if body, ok := r.Body.(*leasedBody); ok {
+		return max(body.size, r.ContentLength)
+	}
+	return 0
 }
 
 // finishRequest prepares the connection for the next request, of which a part may have been read already.
--- a/internal/transport/listener/guard.go
+++ b/internal/transport/listener/guard.go
@@ -226,6 +226,13 @@
 	g.reclaimer.SetStage(time.Now(), c.client, stage)
 }
 
+// progress records that a request of the connection has arrived.
+func (g *Guard) progress(c *conn) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.reclaimer.Progress(time.Now(), c.client)
+}
+
 // count records an event at the connection.
 func (g *Guard) count(c *conn, kind event) {
 	g.mutex.Lock()
@@ -270,6 +277,12 @@
 		return
 	}
 	defer c.endRequest(r, lease)
+	if hasBody(r) {
+		r.Body = &leasedBody{
+			ReadCloser: r.Body,
+			lease:      lease,
+		}
+	}
 	if r.ProtoMajor > 1 {
 		// The requests of one connection run at the same time.
 		r = r.WithContext(context.WithValue(r.Context(), leaseKey{}, lease))
--- a/internal/transport/listener/guard_test.go
+++ b/internal/transport/listener/guard_test.go
@@ -48,7 +48,8 @@
 
 func (s *guardedServer) serve(w http.ResponseWriter, r *http.Request) {
 	size, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
+	if IsOverload(err) {
+		WriteOverload(w, r)
 		return
 	}
 	switch r.URL.Path {
@@ -125,6 +126,7 @@
 	body := func(size int) string {
 		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, bytes.Repeat([]byte("b"), size))
 	}
+	chunks := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("a\r\n0123456789\r\n", 6000) + "0\r\n\r\n"
 	cases := []struct {
 		name, request string
 		want          []string
@@ -137,6 +139,8 @@
 		{"a head that does not fit behind another request", get + longHead("/", 400) + "\r\n", []string{"200 0", "503"}},
 		{"a head above the limit", "GET / HTTP/1.1\r\nHost: a\r\nLong: " + strings.Repeat("v", 16<<10) + "\r\n\r\n", []string{"431"}},
 		{"a body that fits", body(40 << 10), []string{"200 40960"}},
+		{"a body that does not fit", body(60 << 10), []string{"503"}},
+		{"chunks that do not fit", chunks, []string{"503"}},
 		{"a body behind another one", body(40<<10) + body(40<<10), []string{"200 40960", "200 40960"}},
 	}
 	for _, c := range cases {
@@ -160,6 +164,31 @@
 	}
 }
 
+// TestStalledRequestsGiveWay guards against requests that stop arriving and shut out others.
+func TestStalledRequestsGiveWay(t *testing.T) {
+	s := newGuardedServer(t, 100<<10, GateOptions{
+		MaxConnections: 10,
+	})
+	stalled := s.dial().send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 45000\r\n\r\n" + strings.Repeat("b", 44_999))
+	head := s.dial().send(longHead("/", 30))
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(50 * time.Millisecond) {
+		if got := s.dial().send(longHead("/", 150) + "\r\n").receive(); got == "200 0" {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("a request is not served beside one that has stopped arriving")
+		}
+	}
+	if got := stalled.receive(); got != "503" {
+		t.Errorf("the request that was cut off got %q", got)
+	}
+	// One within its allowance takes nothing from others.
+	if got := head.send("\r\n").receive(); got != "200 0" {
+		t.Errorf("a small request that arrives slowly got %q", got)
+	}
+	s.awaitHeld(0)
+}
+
 // TestConnectionsGiveWay guards against connections nobody uses that shut out newcomers, and against more connections than the limit.
 func TestConnectionsGiveWay(t *testing.T) {
 	s := newGuardedServer(t, 100<<10, GateOptions{
@@ -258,3 +287,34 @@
 	client.CloseIdleConnections()
 	s.awaitHeld(0)
 }
+
+// TestStalledStreamsGiveWay guards against requests over one connection that stop arriving and shut out others.
+func TestStalledStreamsGiveWay(t *testing.T) {
+	s := newGuardedServer(t, 5*streamCost, GateOptions{
+		MaxConnections: 10,
+		AllowsHTTP2:    true,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	ask := func(client *http.Client, body io.Reader) int {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.address+"/", body)
+		response, err := client.Do(request)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	stalled := NewSingleConnectionClient((&net.Dialer{}).DialContext)
+	for range 20 {
+		body, writer := io.Pipe()
+		defer writer.Close()
+		go ask(stalled, body)
+	}
+	s.awaitHeld(5 * streamCost)
+	for other := NewSingleConnectionClient((&net.Dialer{}).DialContext); ask(other, nil) != http.StatusOK; time.Sleep(50 * time.Millisecond) {
+		if ctx.Err() != nil {
+			t.Fatal("a request is not served beside streams that have stopped")
+		}
+	}
+}
--- a/internal/transport/listener/lease.go
+++ b/internal/transport/listener/lease.go
@@ -2,6 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+)
+
+const (
+	// bodyAllowance is the size of a body that each request may have at any time, in bytes.
+	bodyAllowance = 2 << 10
+	// bodyByteCost is how much memory a byte of a body takes, in bytes: a buffer that grows takes up to twice the body, beside the one before it.
+	bodyByteCost = 3
+	// bodyCostStep is the amount in which memory for a body is leased, in bytes.
+	bodyCostStep = 8 << 10
 )
 
 // connKey and leaseKey are the keys of the connection and the lease in the context of a request.
@@ -78,3 +89,43 @@
 		l.bytes = 0
 	}
 }
+
+// leasedBody is the body of a request whose bytes are counted as they are read.
+type leasedBody struct {
+	io.ReadCloser
+
+	lease *Lease
+	size  int64
+	held  int64
+	// isWhole is set once the body has arrived.
+	isWhole bool
+}
+
+// Read reads a part of the body. The error is an OverloadError if there is no memory for it, or if the client is cut off in favor of others.
+func (b *leasedBody) Read(content []byte) (int, error) {
+	c := b.lease.conn
+	n, err := b.ReadCloser.Read(content)
+	b.size += int64(n)
+	if !b.grow() || err != nil && c.isCutOff.Load() {
+		return 0, newOverloadError()
+	}
+	if errors.Is(err, io.EOF) && !b.isWhole {
+		b.isWhole = true
+		c.finishBody()
+	}
+	return n, err
+}
+
+// grow leases the memory for what has been read, and reports whether there is any.
+func (b *leasedBody) grow() bool {
+	missing := (b.size-bodyAllowance)*bodyByteCost - b.held
+	if missing <= 0 {
+		return true
+	}
+	missing = max(missing, bodyCostStep)
+	if !b.lease.TryGrow(missing) {
+		return false
+	}
+	b.held += missing
+	return true
+}
--- a/internal/transport/listener/overload.go
+++ b/internal/transport/listener/overload.go
@@ -1,6 +1,26 @@
 package listener
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+)
+
+// OverloadError reports a request that can't be read because clients hold all memory that requests may take.
+type OverloadError struct{}
+
+// Error returns the reason.
+func (e *OverloadError) Error() string { return "too much memory is held for requests" }
+
+// IsOverload reports whether the error is or wraps an OverloadError.
+func IsOverload(err error) bool {
+	var overload *OverloadError
+	return errors.As(err, &overload)
+}
+
+// newOverloadError returns an OverloadError that the RPC handlers pass on to their clients.
+func newOverloadError() error { return connect.NewError(connect.CodeUnavailable, &OverloadError{}) }
 
 // retryAfterOverload is the value of Retry-After for a request that is refused because of its memory, in seconds.
 const retryAfterOverload = "1"
