Bound the memory of requests in service

What callers saw: nothing yet; requests over shards that wait behind slow replicas take memory for each attempt, and nothing bounds their number but the connections: some 7 KB an attempt (400 requests to 24 shards: 86 MB on, 18 MB at rest), so 1,000 requests to 90 shards are some 600 MB.

Change: each attempt beyond the first counts 6 KB, at the instance that the caller has reached, at relays and at peers that answer in its place. A request that finds no room is refused at once (memory-in-use, 503, not run).

Test: TestHostileClients/small_requests_to_shards.

--- a/internal/coordination/scatterer/job.go
+++ b/internal/coordination/scatterer/job.go
@@ -35,6 +35,8 @@
 	RetryAfterFailure = 250 * time.Millisecond
 	// RetryAfterStopping is the Retry-After of a request that an instance which stops can't finish. Others serve meanwhile.
 	RetryAfterStopping = 20 * time.Millisecond
+	// RetryAfterMemory is the Retry-After of a request for which there is no memory. Requests in progress end meanwhile.
+	RetryAfterMemory = 250 * time.Millisecond
 	// retryAfterOverload is the Retry-After of a request that was refused because of load.
 	retryAfterOverload = 100 * time.Millisecond
 )
--- a/internal/coordination/scatterer/types.go
+++ b/internal/coordination/scatterer/types.go
@@ -197,6 +197,8 @@
 	ReasonZoneDrained      Reason = "zone-drained"
 	ReasonHomeRegions      Reason = "outside-home-regions"
 	ReasonStopping         Reason = "instance-stopping"
+	// ReasonMemory refuses a request before it is sent, because the requests in progress take all memory that they may.
+	ReasonMemory Reason = "memory-in-use"
 )
 
 // DecisionKind says what kind of answer the caller gets.
--- a/internal/transport/forwarder/divert_service.go
+++ b/internal/transport/forwarder/divert_service.go
@@ -12,6 +12,7 @@
 	"pimentogate.example/pimentogate/internal/coordination/merger"
 	"pimentogate.example/pimentogate/internal/coordination/scatterer"
 	"pimentogate.example/pimentogate/internal/transport/exchanger"
+	"pimentogate.example/pimentogate/internal/transport/listener"
 	"pimentogate.example/pimentogate/pkg/wire"
 )
 
@@ -37,6 +38,9 @@
 	if route == nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoRoute)
 	}
+	if !listener.LeaseOf(ctx).TryGrow(attemptsCost(len(route.Shards))) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &listener.OverloadError{})
+	}
 	defer f.peers.startCall()()
 	call := &exchanger.Call{
 		ID:         msg.GetRequestId(),
--- a/internal/transport/forwarder/relay_service.go
+++ b/internal/transport/forwarder/relay_service.go
@@ -33,6 +33,9 @@
 	}
 	msg := request.Msg
 	lease := listener.LeaseOf(ctx)
+	if !lease.TryGrow(attemptsCost(len(msg.GetItems()))) {
+		return connect.NewError(connect.CodeFailedPrecondition, &listener.OverloadError{})
+	}
 	defer s.forwarder.peers.startCall()()
 	relay := &incomingRelay{
 		lease:     lease,
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -50,6 +50,9 @@
 		// The caller reaches another instance, since this one closes its connection.
 		return f.refuse(ctx, call, request, version, scatterer.ReasonStopping, scatterer.RetryAfterStopping)
 	}
+	if !listener.LeaseOf(ctx).TryGrow(attemptsCost(len(request.Route.Shards))) {
+		return f.refuse(ctx, call, request, version, scatterer.ReasonMemory, scatterer.RetryAfterMemory)
+	}
 	var refusal *AllotmentError
 	if errors.As(f.allotments.charge(ctx, &request), &refusal) {
 		return f.refuse(ctx, call, request, version, refusal.Reason, refusal.RetryAfter)
@@ -61,6 +64,12 @@
 	return answer
 }
 
+// attemptCost is the memory that an attempt takes beyond the first of a request, in bytes.
+const attemptCost = 6 << 10
+
+// attemptsCost returns the memory that the attempts of a request take beyond its allowance, in bytes.
+func attemptsCost(attempts int) int64 { return int64(max(0, attempts-1)) * attemptCost }
+
 // expectedWork returns the expected work of a request of the route, 0 if it is not known.
 func (f *Forwarder) expectedWork(route string) time.Duration {
 	f.mutex.Lock()
