Close connections whose clients do not read their responses

Cause: writes to clients have no deadline.

Change: a client has 5 s for each 64 KB of a response (write-timeout-ms), then its connection is closed (response-not-read).

--- a/internal/protocol/checker/resources.go
+++ b/internal/protocol/checker/resources.go
@@ -10,6 +10,8 @@
 	ClientConnections int64 `json:"client-connections,omitempty"`
 	// ClientMemoryMB limits the memory that the requests of clients take together, in megabytes.
 	ClientMemoryMB int64 `json:"client-memory-mb,omitempty"`
+	// WriteTimeoutMs is how long a client may take to receive a part of a response.
+	WriteTimeoutMs int64 `json:"write-timeout-ms,omitempty"`
 }
 
 const (
@@ -17,6 +19,7 @@
 	defaultEntryMemoryMB   = 160
 	defaultControlMemoryMB = 256
 	defaultOpenFiles       = 4096
+	defaultWriteTimeoutMs  = 5000
 
 	minMemoryMB  = 64
 	minOpenFiles = 128
@@ -30,8 +33,9 @@
 
 func newResources(memoryMB int64) Resources {
 	return Resources{
-		MemoryMB:  memoryMB,
-		OpenFiles: defaultOpenFiles,
+		MemoryMB:       memoryMB,
+		OpenFiles:      defaultOpenFiles,
+		WriteTimeoutMs: defaultWriteTimeoutMs,
 	}
 }
 
@@ -40,4 +44,5 @@
 	v.require("resources.open-files", r.OpenFiles >= minOpenFiles, "at least 128")
 	v.require("resources.client-connections", r.ClientConnections >= 0, "0 or more")
 	v.require("resources.client-memory-mb", r.ClientMemoryMB >= 0 && r.ClientMemoryMB <= r.MemoryMB, "from 0 to memory-mb")
+	v.require("resources.write-timeout-ms", r.WriteTimeoutMs > 0, "above 0")
 }
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 	lingerTimeout = 200 * time.Millisecond
 	// cutOffTimeout is how long a client that is cut off has to receive the response.
 	cutOffTimeout = time.Second
+	// writeSize is the size of the parts in which a response is written, in bytes.
+	writeSize = 64 << 10
 	// streamCost is the memory that a request takes which shares its connection with others, in bytes.
 	streamCost = 16 << 10
 	// http2Preface is the start of a connection with HTTP/2.
@@ -160,6 +163,22 @@
 	return err
 }
 
+// Write writes in parts, each of which the client must receive in time.
+func (c *conn) Write(content []byte) (int, error) {
+	written := 0
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(c.gate.guard.writeTimeout))
+		n, err := c.Conn.Write(content[written:min(len(content), written+writeSize)])
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.gate.guard.count(c, eventResponseNotRead)
+		}
+		if err != nil || written == len(content) {
+			return written, err
+		}
+	}
+}
+
 // CloseWrite ends what is sent, so that the client receives it whole before the connection is closed.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/transport/listener/guard.go
+++ b/internal/transport/listener/guard.go
@@ -24,8 +24,10 @@
 
 // Guard accounts for what the clients of a process make it hold, and cuts off or refuses those that exceed the limits.
 type Guard struct {
-	log   logr.Logger
-	scope tally.Scope
+	// writeTimeout is how long a client may take to receive a part of a response.
+	writeTimeout time.Duration
+	log          logr.Logger
+	scope        tally.Scope
 	// mutex guards the fields below, and the clients of all connections.
 	mutex     sync.Mutex
 	reclaimer *reclaimer.Reclaimer[*conn]
@@ -33,12 +35,13 @@
 }
 
 // NewGuard returns a guard whose clients' requests hold up to that many bytes beyond their allowances. It reports its decisions to the log and the scope.
-func NewGuard(requestBytes int64, log logr.Logger, scope tally.Scope) *Guard {
+func NewGuard(requestBytes int64, writeTimeout time.Duration, log logr.Logger, scope tally.Scope) *Guard {
 	return &Guard{
-		log:       log.WithName("guard"),
-		scope:     scope,
-		reclaimer: reclaimer.New[*conn](requestBytes),
-		events:    map[eventKey]*eventLog{},
+		writeTimeout: writeTimeout,
+		log:          log.WithName("guard"),
+		scope:        scope,
+		reclaimer:    reclaimer.New[*conn](requestBytes),
+		events:       map[eventKey]*eventLog{},
 	}
 }
 
@@ -58,6 +61,7 @@
 	eventCutOff            event = "cut-off"
 	eventRequestRefused    event = "request-refused"
 	eventHeadTooLarge      event = "head-too-large"
+	eventResponseNotRead   event = "response-not-read"
 )
 
 type eventKey struct {
--- a/internal/transport/listener/guard_test.go
+++ b/internal/transport/listener/guard_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	s := &guardedServer{
 		t:       t,
-		guard:   NewGuard(requestBytes, logr.Discard(), tally.NoopScope),
+		guard:   NewGuard(requestBytes, 100*time.Millisecond, logr.Discard(), tally.NoopScope),
 		entered: make(chan *Lease, 100),
 		release: make(chan struct{}),
 	}
@@ -56,6 +56,9 @@
 	case "/wait":
 		s.entered <- LeaseOf(r.Context())
 		<-s.release
+	case "/large":
+		_, _ = w.Write(make([]byte, 64<<20))
+		return
 	}
 	fmt.Fprintf(w, "%d", size)
 }
@@ -251,6 +254,22 @@
 	}
 }
 
+// TestUnreadResponseEnds guards against clients that keep a response by not reading it.
+func TestUnreadResponseEnds(t *testing.T) {
+	s := newGuardedServer(t, 100<<10, GateOptions{
+		MaxConnections: 1,
+	})
+	s.dial().send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n")
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(20 * time.Millisecond) {
+		if got := s.dial().send("GET / HTTP/1.1\r\nHost: a\r\n\r\n").receive(); got == "200 0" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the connection is not closed")
+		}
+	}
+}
+
 // TestStreamsAreCounted guards against requests that share a connection and hold more than the guard knows of.
 func TestStreamsAreCounted(t *testing.T) {
 	s := newGuardedServer(t, 5*streamCost, GateOptions{
--- a/internal/transport/listener/resources.go
+++ b/internal/transport/listener/resources.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -48,6 +49,7 @@
 func withDefaults(r, defaults checker.Resources) checker.Resources {
 	r.MemoryMB = cmp.Or(r.MemoryMB, defaults.MemoryMB)
 	r.OpenFiles = cmp.Or(r.OpenFiles, defaults.OpenFiles)
+	r.WriteTimeoutMs = cmp.Or(r.WriteTimeoutMs, defaults.WriteTimeoutMs)
 	return r
 }
 
@@ -55,11 +57,12 @@
 	budget := divide(r.MemoryMB<<20, min(r.OpenFiles, openFilesLimit()))
 	budget.Clients.Connections = cmp.Or(int(r.ClientConnections), budget.Clients.Connections)
 	budget.Clients.RequestBytes = cmp.Or(r.ClientMemoryMB<<20, budget.Clients.RequestBytes)
+	writeTimeout := time.Duration(r.WriteTimeoutMs) * time.Millisecond
 	log.Info("limits of clients", "memory-mb", r.MemoryMB, "connections", budget.Clients.Connections, "request-bytes", budget.Clients.RequestBytes,
 		"peer-connections", budget.Peers.Connections, "peer-request-bytes", budget.Peers.RequestBytes, "probe-connections", budget.Probes)
 	return &Guards{
-		clients: NewGuard(budget.Clients.RequestBytes, log, scope),
-		peers:   NewGuard(budget.Peers.RequestBytes, log, scope),
+		clients: NewGuard(budget.Clients.RequestBytes, writeTimeout, log, scope),
+		peers:   NewGuard(budget.Peers.RequestBytes, writeTimeout, log, scope),
 		budget:  budget,
 	}
 }
