Keep neither heads nor bodies for the log

What callers saw: nothing yet. Up to 512 requests wait to be logged with their headers, bodies and replies, and 2,048 records of outcomes with IDs as long as a header may be: 64 MB of IDs at 32 KB each, after their requests have been answered and their memory was given to others.

Change: entries hold the first 128 bytes of an ID and no more of what callers and replicas have sent.

--- a/internal/transport/forwarder/divert.go
+++ b/internal/transport/forwarder/divert.go
@@ -133,7 +133,7 @@
 		f.diverter.RecordAnswer(peer)
 	case ctx.Err() == nil:
 		f.diverter.RecordFailure(time.Now(), peer)
-		f.log.Info("peer did not answer a diverted request", "request", v.call.ID, "peer", peer.Instance, "cause", err.Error())
+		f.log.Info("peer did not answer a diverted request", "request", loggedID(v.call.ID), "peer", peer.Instance, "cause", err.Error())
 	}
 }
 
@@ -187,14 +187,11 @@
 	if !shouldLog(v.call, d) {
 		return
 	}
-	f.requestLog.add(requestEntry{
-		call:          v.call,
-		request:       v.request,
-		decision:      *d,
-		configVersion: v.version,
-		latency:       time.Since(v.request.ArrivedAt),
-		divertedTo:    v.tried[len(v.tried)-1].Instance,
-	})
+	entry := newRequestEntry(v.call, v.request, d)
+	entry.configVersion = v.version
+	entry.latency = time.Since(v.request.ArrivedAt)
+	entry.divertedTo = v.tried[len(v.tried)-1].Instance
+	f.requestLog.add(entry)
 }
 
 // isEncodable reports whether the request can be part of a message between instances, whose text is UTF-8. A header field may have another encoding.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -194,7 +194,7 @@
 // RecordUnauthorized counts and logs a request without a valid key.
 func (f *Forwarder) RecordUnauthorized(requestID, route string, hasKey bool) {
 	f.meter.requestsUnauthorized.Inc(1)
-	f.log.Info("request unauthorized", "request", requestID, "route", route, "has-key", hasKey)
+	f.log.Info("request unauthorized", "request", loggedID(requestID), "route", route, "has-key", hasKey)
 }
 
 // recordUse tells the fair shares what an organisation uses in this availability zone.
--- a/internal/transport/forwarder/records.go
+++ b/internal/transport/forwarder/records.go
@@ -25,7 +25,7 @@
 // newOutcomeRecord returns the record of a request for the outcome report. What callers and replicas have sent is made UTF-8, as records are messages.
 func newOutcomeRecord(r *activeRequest, d *scatterer.Decision, latency time.Duration) *wire.OutcomeRecord {
 	record := &wire.OutcomeRecord{
-		RequestId: strings.ToValidUTF8(r.call.ID, "?"),
+		RequestId: strings.ToValidUTF8(loggedID(r.call.ID), "?"),
 		Service:   r.request.Route.Name,
 		Outcome:   parser.OutcomeName(reportedOutcome(d)),
 		Reason:    string(d.Reason),
--- a/internal/transport/forwarder/relay.go
+++ b/internal/transport/forwarder/relay.go
@@ -165,7 +165,7 @@
 		f.peers.relayer.RecordCancellation(time.Now(), o.peer, o.startedAt)
 	default:
 		f.peers.relayer.RecordFailure(time.Now(), o.peer, o.startedAt)
-		f.log.Info("peer failed to relay attempts", "request", o.owner.call.ID, "peer", o.peer.Instance, "attempts", len(o.pending), "cause", causeOf(err))
+		f.log.Info("peer failed to relay attempts", "request", loggedID(o.owner.call.ID), "peer", o.peer.Instance, "attempts", len(o.pending), "cause", causeOf(err))
 	}
 	if o.isAbandoned {
 		outcome.Cause = scatterer.CauseCancelled
--- a/internal/transport/forwarder/request_log.go
+++ b/internal/transport/forwarder/request_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,11 +30,20 @@
 	duration        time.Duration
 }
 
-// requestEntry is the log entry of one request.
+// maxLoggedID limits the part of a request's ID that is logged and recorded, in bytes.
+const maxLoggedID = 128
+
+// loggedID returns the start of a request's ID. It is a copy, so that the entry does not keep the rest of the header.
+func loggedID(id string) string { return strings.Clone(id[:min(len(id), maxLoggedID)]) }
+
+// requestEntry is the log entry of one request. It keeps neither the header nor the body, since many may wait to be logged.
 type requestEntry struct {
-	call             *exchanger.Call
-	request          scatterer.Request
-	decision         scatterer.Decision
+	// id is the start of the request's ID.
+	id       string
+	request  scatterer.Request
+	decision scatterer.Decision
+	// parts is the number of replies in the answer.
+	parts            int
 	configVersion    uint64
 	tableIndex       uint64
 	minAdmittedShare float64
@@ -44,6 +54,19 @@
 	divertedTo string
 }
 
+// newRequestEntry returns the entry of a request, without what a caller or a replica may have made large.
+func newRequestEntry(call *exchanger.Call, request scatterer.Request, d *scatterer.Decision) requestEntry {
+	entry := requestEntry{
+		id:       loggedID(call.ID),
+		request:  request,
+		decision: *d,
+		parts:    len(d.Replies),
+	}
+	entry.request.ID = ""
+	entry.decision.Replies = nil
+	return entry
+}
+
 // requestLogger logs requests in the background, so that logging does not delay answers. It drops and counts entries that do not fit into its queue.
 type requestLogger struct {
 	log   logr.Logger
@@ -103,12 +126,12 @@
 	}
 	d := entry.decision
 	if entry.divertedTo != "" {
-		log.Info("request diverted", "request", entry.call.ID, "fingerprint", formatFingerprint(entry.call.Fingerprint()), "route", entry.request.Route.Name, "peer", entry.divertedTo,
+		log.Info("request diverted", "request", entry.id, "fingerprint", formatFingerprint(entry.request.Fingerprint), "route", entry.request.Route.Name, "peer", entry.divertedTo,
 			"outcome", d.Kind.String(), "reason", d.Reason, "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "version", entry.configVersion)
 		return
 	}
-	log.Info("request", "request", entry.call.ID, "fingerprint", formatFingerprint(entry.call.Fingerprint()), "route", entry.request.Route.Name, "outcome", d.Kind.String(), "reason", d.Reason,
-		"parts", len(d.Replies), "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "target-ms", entry.request.Route.TargetLatency.Milliseconds(),
+	log.Info("request", "request", entry.id, "fingerprint", formatFingerprint(entry.request.Fingerprint), "route", entry.request.Route.Name, "outcome", d.Kind.String(), "reason", d.Reason,
+		"parts", entry.parts, "missing", d.MissingShards, "took-ms", milliseconds(entry.latency), "target-ms", entry.request.Route.TargetLatency.Milliseconds(),
 		"waits-ms", entry.callerTimeoutMs(), "retry-after-ms", d.RetryAfter.Milliseconds(), "attempts", len(entry.attempts),
 		"version", entry.configVersion, "table", entry.tableIndex, "least-shed-share", entry.minAdmittedShare, "least-budget-left", entry.minRetryBudget)
 	for i := range entry.attempts {
@@ -129,7 +152,7 @@
 }
 
 func (l *requestLogger) writeAttempt(log logr.Logger, entry *requestEntry, a *attemptEntry) {
-	log.Info("attempt", "request", entry.call.ID, "service", a.attempt.Service, "replica", a.attempt.Replica.ID, "address", a.attempt.Replica.Address,
+	log.Info("attempt", "request", entry.id, "service", a.attempt.Service, "replica", a.attempt.Replica.ID, "address", a.attempt.Replica.Address,
 		"kind", a.attempt.Kind, "at-ms", milliseconds(a.attempt.StartedAt.Sub(entry.request.ArrivedAt)), "expected-ms", milliseconds(a.expectedLatency),
 		"in-flight", a.inFlight, "outcome", a.outcome, "cause", a.cause, "took-ms", milliseconds(a.duration))
 }
--- a/internal/transport/forwarder/serve.go
+++ b/internal/transport/forwarder/serve.go
@@ -146,7 +146,7 @@
 				request:  active,
 			}
 		}
-		f.log.Info("request rerouted", "request", call.ID, "route", next.route.Name, "version", next.version, "before", version, "reason", d.Reason)
+		f.log.Info("request rerouted", "request", loggedID(call.ID), "route", next.route.Name, "version", next.version, "before", version, "reason", d.Reason)
 		request.Route = next.route
 		version = next.version
 	}
@@ -380,17 +380,14 @@
 	if !shouldLog(r.call, d) {
 		return
 	}
-	f.requestLog.add(requestEntry{
-		call:             r.call,
-		request:          r.request,
-		decision:         *d,
-		configVersion:    r.version,
-		tableIndex:       f.directory.atomicIndex.Load(),
-		minAdmittedShare: r.job.MinAdmittedShare(now),
-		minRetryBudget:   r.job.MinRetryBudget(now),
-		latency:          now.Sub(r.request.ArrivedAt),
-		attempts:         r.attemptEntries,
-	})
+	entry := newRequestEntry(r.call, r.request, d)
+	entry.configVersion = r.version
+	entry.tableIndex = f.directory.atomicIndex.Load()
+	entry.minAdmittedShare = r.job.MinAdmittedShare(now)
+	entry.minRetryBudget = r.job.MinRetryBudget(now)
+	entry.latency = now.Sub(r.request.ArrivedAt)
+	entry.attempts = r.attemptEntries
+	f.requestLog.add(entry)
 }
 
 // record updates the metrics and the outcome records by the answer that the caller gets from this instance.
