Have connections that have been answered give way to newcomers

What callers saw: with a crowd of clients that are answered before their bodies have arrived, no new connection was admitted at a listener with few of them: TestHostileClients/bodies_that_stop,_metrics_of_1 failed once in three runs (metrics unanswered for 10 s; in the two others it took some 3 s longer than its neighbours).

The HTTP server keeps a connection that it has answered early for 0.5 s, so that its client gets the response; it counted as a request that is arriving, which is spared for as long. And the guard replaced the body in the server's own request, so that the server no longer knew how much of it was left, and read 256 KB of it before it sent the response.

Change: from the end of the response on, a connection gives way to any other; handlers get the counted body in a copy of the request.

Test: TestAnsweredConnectionsGiveWay fails without either (no response within 5 s).

--- a/internal/coordination/reclaimer/reclaimer.go
+++ b/internal/coordination/reclaimer/reclaimer.go
@@ -23,6 +23,8 @@
 	Receiving
 	// Serving is a connection whose request is complete.
 	Serving
+	// Ending is a connection that is about to be closed, once its client has had time to receive the response.
+	Ending
 	stageCount
 )
 
@@ -133,9 +135,11 @@
 
 // findVictim returns the client to cut off for a connection, or nil if there is none.
 func (g *Group[T]) findVictim(now time.Time) *Client[T] {
-	for _, clients := range g.clients[Idle] {
-		if oldest := first[T](clients); oldest != nil {
-			return oldest
+	for _, stage := range []Stage{Ending, Idle} {
+		for _, clients := range g.clients[stage] {
+			if oldest := first[T](clients); oldest != nil {
+				return oldest
+			}
 		}
 	}
 	for _, clients := range g.clients[Receiving] {
--- a/internal/coordination/reclaimer/reclaimer_test.go
+++ b/internal/coordination/reclaimer/reclaimer_test.go
@@ -22,6 +22,7 @@
 		{"room", []Stage{Serving}, 0, "", false},
 		{"oldest idle", []Stage{Serving, Idle, Idle}, 0, "1", false},
 		{"one of whom nothing was served", []Stage{Idle, Serving, Idle}, 0, "2", false},
+		{"ending before idle", []Stage{Serving, Idle, Ending}, 0, "2", false},
 		{"idle before receiving", []Stage{Receiving, Serving, Idle}, time.Hour, "2", false},
 		{"longest receiving", []Stage{Serving, Receiving, Receiving}, Patience, "1", false},
 		{"receiving for a moment", []Stage{Serving, Receiving, Receiving}, Patience / 2, "", true},
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -143,10 +143,10 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
-// cutOff ends the connection in favor of another client, at once if no part of a request has arrived. A request that is arriving is refused.
+// cutOff ends the connection in favor of another client, at once if there is nothing to answer. A request that is arriving is refused.
 func (c *conn) cutOff(stage reclaimer.Stage) {
 	c.isCutOff.Store(true)
-	if stage == reclaimer.Idle {
+	if stage != reclaimer.Receiving {
 		_ = c.Conn.Close()
 		return
 	}
@@ -179,8 +179,9 @@
 	}
 }
 
-// CloseWrite ends what is sent, so that the client receives it whole before the connection is closed.
+// CloseWrite ends what is sent, so that the client receives it whole before the connection is closed. From then on the connection gives way to any other.
 func (c *conn) CloseWrite() error {
+	c.gate.guard.setStage(c, reclaimer.Ending)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -258,28 +259,20 @@
 }
 
 // endRequest ends the lease of a request that has been handled.
-func (c *conn) endRequest(r *http.Request, lease *Lease) {
-	lease.end()
+func (c *conn) endRequest(r *http.Request, body *leasedBody) {
+	body.lease.end()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if r.ProtoMajor > 1 {
 		c.streams--
-		if body, ok := r.Body.(*leasedBody); ok && !body.isWhole {
+		if hasBody(r) && !body.isWhole {
 			c.arriving--
 		}
 		c.gate.guard.setStage(c, c.streamStage())
 		return
 	}
 	c.lease = nil
-	c.unread -= bodySize(r)
-}
-
-// bodySize returns how many bytes the body of a request has at least taken.
-func bodySize(r *http.Request) int64 {
-	if body, ok := r.Body.(*leasedBody); ok {
-		return max(body.size, r.ContentLength)
-	}
-	return 0
+	c.unread -= max(body.size, r.ContentLength, 0)
 }
 
 // finishRequest prepares the connection for the next request, of which a part may have been read already.
--- a/internal/transport/listener/guard.go
+++ b/internal/transport/listener/guard.go
@@ -280,16 +280,22 @@
 		WriteOverload(w, r)
 		return
 	}
-	defer c.endRequest(r, lease)
-	if hasBody(r) {
-		r.Body = &leasedBody{
-			ReadCloser: r.Body,
-			lease:      lease,
-		}
+	body := &leasedBody{
+		ReadCloser: r.Body,
+		lease:      lease,
 	}
+	defer c.endRequest(r, body)
+	ctx := r.Context()
 	if r.ProtoMajor > 1 {
 		// The requests of one connection run at the same time.
-		r = r.WithContext(context.WithValue(r.Context(), leaseKey{}, lease))
+		ctx = context.WithValue(ctx, leaseKey{}, lease)
+	}
+	if hasBody(r) || r.ProtoMajor > 1 {
+		// The server goes by the type of the body in its own copy of the request.
+		r = r.WithContext(ctx)
+	}
+	if hasBody(r) {
+		r.Body = body
 	}
 	h.next.ServeHTTP(w, r)
 }
--- a/internal/transport/listener/guard_test.go
+++ b/internal/transport/listener/guard_test.go
@@ -47,6 +47,9 @@
 }
 
 func (s *guardedServer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ignore" {
+		return
+	}
 	size, err := io.Copy(io.Discard, r.Body)
 	if IsOverload(err) {
 		WriteOverload(w, r)
@@ -224,6 +227,26 @@
 	}
 }
 
+// TestAnsweredConnectionsGiveWay guards against connections that have been answered and wait for their clients, and shut out newcomers meanwhile.
+func TestAnsweredConnectionsGiveWay(t *testing.T) {
+	for want, request := range map[string]string{
+		"200": "POST /ignore HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nb",
+		"431": "GET / HTTP/1.1\r\nHost: a\r\nLong: " + strings.Repeat("v", 16<<10) + "\r\n\r\n",
+	} {
+		s := newGuardedServer(t, 1<<20, GateOptions{
+			MaxConnections: 2,
+		})
+		for range 2 {
+			if got := s.dial().send(request).receive(); got != want {
+				t.Fatalf("got %q, want %s", got, want)
+			}
+		}
+		if got := s.dial().send("GET / HTTP/1.1\r\nHost: a\r\n\r\n").receive(); got != "200 0" {
+			t.Errorf("a newcomer beside connections that were answered with %s got %q", want, got)
+		}
+	}
+}
+
 // TestLeaseOutlivesRequest guards against memory that is given to others while attempts still use it.
 func TestLeaseOutlivesRequest(t *testing.T) {
 	s := newGuardedServer(t, 100<<10, GateOptions{
