Let newcomers take the place of clients that do not receive

What callers saw: with more clients than an entry instance has connections for, each of which sends requests without reading the responses or waiting for them, newcomers are shut out, as each connection is in service all the time.

Change: a connection on which a part of a response has waited for 0.5 s to be received gives way to a newcomer; so does, between two requests, one whose client has sent the next request already, for a second after a newcomer was refused. A new connection has 50 ms to send something before it may be cut off, so that a crowd of newcomers doesn't cut off an ordinary one before it is read.

Ruled out: cutting off clients of this kind while their request is in service.

Test: TestHostileClients/pipelined_requests_of_many, 1,500 clients. TestAdmit holds the order.

--- a/internal/coordination/reclaimer/reclaimer.go
+++ b/internal/coordination/reclaimer/reclaimer.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// Patience is how long a request may take to arrive before its client may be cut off in favor of another one.
+	// Patience is how long a request may take to arrive, or a part of a response to be received, before its client may be cut off in favor of another one.
 	Patience = 500 * time.Millisecond
+	// arrivalPatience is how long the first part of a request may take to arrive on a new connection before the connection may be cut off.
+	arrivalPatience = 50 * time.Millisecond
+	// contention is how long clients give way after a newcomer has been refused.
+	contention = time.Second
 	// maxWeighedAge is the age of an arriving request from which on it makes no difference.
 	maxWeighedAge = 10 * time.Second
 )
@@ -15,7 +19,7 @@
 // Stage is what the connection of a client is in use for.
 type Stage int
 
-// The stages of a connection. Clients in service are never cut off.
+// The stages of a connection. Clients whose requests are being served are never cut off, since what they hold would outlive their connections.
 const (
 	// Idle is a connection on which no part of a request has arrived since the last response.
 	Idle Stage = iota
@@ -23,6 +27,8 @@
 	Receiving
 	// Serving is a connection whose request is complete.
 	Serving
+	// Sending is a connection on which a part of a response waits for its client to receive it.
+	Sending
 	// Ending is a connection that is about to be closed, once its client has had time to receive the response.
 	Ending
 	stageCount
@@ -77,6 +83,8 @@
 	limit     int
 	// clients holds the clients by their stage and class, each in the order in which the stage began.
 	clients [stageCount][classCount]*list.List
+	// refusedAt is when a newcomer was last refused.
+	refusedAt time.Time
 }
 
 // NewGroup adds a group of up to limit clients.
@@ -111,6 +119,7 @@
 	if g.Len() >= g.limit {
 		victim = g.findVictim(now)
 		if victim == nil {
+			g.refusedAt = now
 			return nil, nil
 		}
 		g.reclaimer.Close(victim)
@@ -124,6 +133,9 @@
 	return client, victim
 }
 
+// IsContended reports whether a newcomer was refused within the last second, so that a client who sends its next request before the response to the last one has to give way.
+func (g *Group[T]) IsContended(now time.Time) bool { return now.Sub(g.refusedAt) < contention }
+
 // enter adds the client to those of its stage and class.
 func (c *Client[T]) enter() { c.place = c.group.clients[c.stage][c.class].PushBack(c) }
 
@@ -135,21 +147,29 @@
 
 // findVictim returns the client to cut off for a connection, or nil if there is none.
 func (g *Group[T]) findVictim(now time.Time) *Client[T] {
-	for _, stage := range []Stage{Ending, Idle} {
-		for _, clients := range g.clients[stage] {
-			if oldest := first[T](clients); oldest != nil {
+	for _, stage := range []Stage{Ending, Idle, Receiving, Sending} {
+		for class, clients := range g.clients[stage] {
+			oldest := first[T](clients)
+			if oldest != nil && now.Sub(oldest.since) >= patienceWith(stage, class) {
 				return oldest
 			}
 		}
 	}
-	for _, clients := range g.clients[Receiving] {
-		if oldest := first[T](clients); oldest != nil && now.Sub(oldest.since) >= Patience {
-			return oldest
-		}
-	}
 	return nil
 }
 
+// patienceWith returns how long a client of the class may be in the stage before it may be cut off for a connection.
+func patienceWith(stage Stage, c int) time.Duration {
+	switch {
+	case stage == Idle && class(c) == newClients:
+		return arrivalPatience
+	case stage == Ending, stage == Idle:
+		return 0
+	default:
+		return Patience
+	}
+}
+
 // first returns the client that has been longest in a list, or nil.
 func first[T any](clients *list.List) *Client[T] {
 	front := clients.Front()
@@ -160,7 +180,7 @@
 	return client
 }
 
-// SetStage records what the connection is in use for. An idle client holds nothing.
+// SetStage records what the connection is in use for, from now on. An idle client holds nothing.
 func (r *Reclaimer[T]) SetStage(now time.Time, c *Client[T], stage Stage) {
 	if c.place == nil || c.stage == stage {
 		return
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -165,11 +165,13 @@
 
 // Write writes in parts, each of which the client must receive in time.
 func (c *conn) Write(content []byte) (int, error) {
+	defer c.startSending()()
 	written := 0
 	for {
 		_ = c.SetWriteDeadline(time.Now().Add(c.gate.guard.writeTimeout))
 		n, err := c.Conn.Write(content[written:min(len(content), written+writeSize)])
 		written += n
+		c.gate.guard.progress(c)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.gate.guard.count(c, eventResponseNotRead)
 		}
@@ -179,6 +181,19 @@
 	}
 }
 
+// startSending records that the client is to receive a part of a response, until the returned function is called.
+func (c *conn) startSending() func() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.isHTTP2 {
+		return func() {}
+	}
+	g := c.gate.guard
+	before := g.stageOf(c)
+	g.setStage(c, reclaimer.Sending)
+	return func() { g.setStage(c, before) }
+}
+
 // CloseWrite ends what is sent, so that the client receives it whole before the connection is closed. From then on the connection gives way to any other.
 func (c *conn) CloseWrite() error {
 	c.gate.guard.setStage(c, reclaimer.Ending)
@@ -289,7 +304,7 @@
 	g := c.gate.guard
 	g.setStage(c, reclaimer.Idle)
 	early := headCost(int(c.unread), min(int(c.unread), c.lastLines))
-	if early > 0 && !g.grow(c, early, &c.headBytes) {
+	if c.unread > 0 && g.isContended(c) || early > 0 && !g.grow(c, early, &c.headBytes) {
 		// The response to the request before may still be on its way.
 		c.cutOff(reclaimer.Receiving)
 	}
--- a/internal/transport/listener/guard.go
+++ b/internal/transport/listener/guard.go
@@ -230,7 +230,21 @@
 	g.reclaimer.SetStage(time.Now(), c.client, stage)
 }
 
-// progress records that a request of the connection has arrived.
+// isContended reports whether newcomers have been refused at the connection's gate.
+func (g *Guard) isContended(c *conn) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return c.gate.group.IsContended(time.Now())
+}
+
+// stageOf returns what the connection is in use for.
+func (g *Guard) stageOf(c *conn) reclaimer.Stage {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return c.client.Stage()
+}
+
+// progress records that a part of what the connection is in use for has been done.
 func (g *Guard) progress(c *conn) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
