--- a/internal/coordination/reclaimer/reclaimer.go
+++ b/internal/coordination/reclaimer/reclaimer.go
@@ -197,7 +197,7 @@
 	c.enter()
 }
 
-// Progress records that a part of what the client is sending has arrived whole, so that it counts as arriving from now on.
+// Progress records that a part of what the client sends or receives has arrived, so that its stage counts from now on.
 func (r *Reclaimer[T]) Progress(now time.Time, c *Client[T]) {
 	if c.place == nil {
 		return
