--- a/internal/coordination/reclaimer/reclaimer.go
+++ b/internal/coordination/reclaimer/reclaimer.go
@@ -8,8 +8,6 @@
 const (
 	// Patience is how long a request may take to arrive, or a part of a response to be received, before its client may be cut off in favor of another one.
 	Patience = 500 * time.Millisecond
-	// arrivalPatience is how long the first part of a request may take to arrive on a new connection before the connection may be cut off.
-	arrivalPatience = 50 * time.Millisecond
 	// contention is how long clients give way after a newcomer has been refused.
 	contention = time.Second
 	// maxWeighedAge is the age of an arriving request from which on it makes no difference.
@@ -148,9 +146,9 @@
 // findVictim returns the client to cut off for a connection, or nil if there is none.
 func (g *Group[T]) findVictim(now time.Time) *Client[T] {
 	for _, stage := range []Stage{Ending, Idle, Receiving, Sending} {
-		for class, clients := range g.clients[stage] {
+		for _, clients := range g.clients[stage] {
 			oldest := first[T](clients)
-			if oldest != nil && now.Sub(oldest.since) >= patienceWith(stage, class) {
+			if oldest != nil && now.Sub(oldest.since) >= patienceWith(stage) {
 				return oldest
 			}
 		}
@@ -158,16 +156,12 @@
 	return nil
 }
 
-// patienceWith returns how long a client of the class may be in the stage before it may be cut off for a connection.
-func patienceWith(stage Stage, c int) time.Duration {
-	switch {
-	case stage == Idle && class(c) == newClients:
-		return arrivalPatience
-	case stage == Ending, stage == Idle:
+// patienceWith returns how long a client may be in the stage before it may be cut off for a connection.
+func patienceWith(stage Stage) time.Duration {
+	if stage == Ending || stage == Idle {
 		return 0
-	default:
-		return Patience
 	}
+	return Patience
 }
 
 // first returns the client that has been longest in a list, or nil.
