--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -159,8 +159,15 @@
 	w.Header().Set(names["id"], id)
 	w.Header().Set("Keep-Alive", "timeout=30")
 	if r.before != nil {
-		if bytes := r.before(q); bytes != nil {
-			r.sendBefore(w, id, bytes)
+		if additional := r.before(q); additional != nil {
+			r.ledger.add(run{
+				id:      id,
+				replica: r.id,
+				service: r.service,
+				at:      time.Since(r.world.started),
+				sum:     sumOf(q.Method, q.RequestURI, body),
+			})
+			r.sendBefore(w, id, additional)
 			return
 		}
 	}
